--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+
+.PHONY: setup test check format demo bench
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $(STAMP)
+
+check: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+test: check
+	$(PYTHON) -m unittest discover -s tests -t .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+demo: setup
+	$(PYTHON) -m examples.demo
+
+bench: setup
+	$(PYTHON) -m bench
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/primrosecross/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports, one outside system a module."""
--- /dev/null
+++ b/primrosecross/adapters/announce_http.py
@@ -0,0 +1,69 @@
+"""Announcements of the targets on this VM, over HTTP."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import pydantic
+from gevent import pywsgi
+
+from primrosecross.models import settings as settings_model
+from primrosecross.ports import target as target_port
+
+MAX_BODY_BYTES = 16 * 1024
+
+
+class AnnouncementModel(pydantic.BaseModel):
+    """What a target posts to /v1/announce."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    service: str = pydantic.Field(pattern=r"^[a-z0-9-]{1,63}$")
+    address: str = pydantic.Field(pattern=r"^[0-9.]+:\d{1,5}$")
+    slots: int = pydantic.Field(ge=1, le=10_000)
+    checks_generation: bool = False
+
+
+class AnnounceServer:
+    """Takes announcements and hands them on.
+
+    Args:
+        listen: Address to listen on, as (ip, port).
+        announced: Called with each announcement.
+    """
+
+    def __init__(
+        self,
+        *,
+        listen: tuple[str, int],
+        announced: Callable[[target_port.Announcement], None],
+    ) -> None:
+        self._announced = announced
+        self._server = pywsgi.WSGIServer(
+            listen, self._serve, log=None, error_log=None
+        )
+
+    def start(self) -> None:
+        """Begins to listen; raises OSError when the port is taken."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._server.stop(timeout=1)
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> Iterable[bytes]:
+        path = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        if path != ("POST", "/v1/announce"):
+            start_response("404 Not Found", [])
+            return [b"post announcements to /v1/announce\n"]
+        try:
+            body = environ["wsgi.input"].read(MAX_BODY_BYTES)
+            model = AnnouncementModel.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            start_response("400 Bad Request", [])
+            return [settings_model.describe(error).encode() + b"\n"]
+        self._announced(target_port.Announcement(**model.model_dump()))
+        start_response("204 No Content", [])
+        return []
--- /dev/null
+++ b/primrosecross/adapters/caller_http.py
@@ -0,0 +1,219 @@
+"""Callers' requests over HTTP.
+
+The path is /SERVICE/KEY/... for keyed services and /SERVICE/... for others.
+Refusals are problem details (RFC 9457) with the outcome as a member.
+"""
+
+import functools
+import json
+import uuid
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+from urllib import parse
+
+from gevent import pywsgi
+
+from primrosecross.domain import errors
+from primrosecross.domain import lease as lease_module
+from primrosecross.domain import outcome
+from primrosecross.domain import request
+from primrosecross.domain import router as router_module
+from primrosecross.domain import state as state_module
+from primrosecross.ports import clock as clock_port
+
+OUTCOME_HEADER = "Primrosecross-Outcome"
+TIMEOUT_FIELD = "HTTP_PRIMROSECROSS_TIMEOUT_MS"
+IDEMPOTENCY_FIELD = "HTTP_IDEMPOTENCY_KEY"
+DEFAULT_TIMEOUT_MS = 10_000
+DEFAULT_MAX_BODY_BYTES = 1 << 20
+PASSED_FIELDS = ("CONTENT_TYPE", "HTTP_ACCEPT", "HTTP_AUTHORIZATION")
+
+_STATUS = {
+    outcome.Reason.UNKNOWN_SERVICE: (404, "Not Found"),
+    outcome.Reason.BAD_REQUEST: (400, "Bad Request"),
+    outcome.Reason.BODY_TOO_LARGE: (413, "Content Too Large"),
+    outcome.Reason.OVERLOADED: (429, "Too Many Requests"),
+    outcome.Reason.DEADLINE: (504, "Gateway Timeout"),
+    outcome.Reason.DUPLICATE: (409, "Conflict"),
+}
+_UNAVAILABLE = (503, "Service Unavailable")
+_UNKNOWN = (502, "Bad Gateway")
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class CallerServer:
+    """Takes callers' requests and answers with their outcomes.
+
+    Args:
+        listen: Address to listen on, as (ip, port).
+        router: Routes requests.
+        state: Plan in force, for deadlines and limits.
+        clock: Clock that deadlines refer to.
+    """
+
+    def __init__(
+        self,
+        *,
+        listen: tuple[str, int],
+        router: router_module.Router,
+        state: state_module.State,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._router = router
+        self._state = state
+        self._clock = clock
+        self._server = pywsgi.WSGIServer(
+            listen, self._serve, log=None, error_log=None
+        )
+
+    def start(self) -> None:
+        """Begins to listen; raises OSError when the port is taken."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._server.stop(timeout=1)
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        try:
+            req = self._parse(environ)
+        except errors.RequestError as error:
+            result = outcome.NotRun(outcome.Reason.BAD_REQUEST, str(error))
+            return render(result, start_response)
+        return render(self._router.route(req), start_response)
+
+    def _parse(self, environ: dict[str, Any]) -> request.Request:
+        path = environ["PATH_INFO"].encode("latin-1").decode(errors="replace")
+        name, _, rest = path.lstrip("/").partition("/")
+        service = self._state.plan.services.get(name)
+        key = ""
+        if service is not None and service.keyed:
+            key, _, rest = rest.partition("/")
+        target_path = "/" + parse.quote(rest)
+        if environ.get("QUERY_STRING"):
+            target_path += "?" + environ["QUERY_STRING"]
+        method = environ["REQUEST_METHOD"]
+        default_ms = service.timeout_ms if service else DEFAULT_TIMEOUT_MS
+        timeout_ms = _number(environ, TIMEOUT_FIELD, default_ms)
+        limit = service.max_body_bytes if service else DEFAULT_MAX_BODY_BYTES
+        return request.Request(
+            request_id=environ.get(IDEMPOTENCY_FIELD) or uuid.uuid4().hex,
+            service=name,
+            key=key,
+            method=method,
+            path=target_path,
+            headers=_passed_headers(environ),
+            body=_body(environ, limit),
+            idempotent=bool(service and method in service.idempotent_methods),
+            deadline_ns=self._clock.now_ns()
+            + timeout_ms * lease_module.NS_PER_MS,
+        )
+
+
+def _number(environ: dict[str, Any], field: str, default: int) -> int:
+    text = environ.get(field)
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        raise errors.RequestError(
+            f"{field} is not a number", remedy="send decimal digits"
+        )
+    return int(text)
+
+
+def _body(environ: dict[str, Any], limit: int) -> bytes:
+    if _number(environ, "CONTENT_LENGTH", 0) > limit:
+        return b"\0" * (limit + 1)
+    try:
+        return environ["wsgi.input"].read(limit + 1)
+    except (OSError, ValueError) as error:
+        raise errors.RequestError(
+            f"the body did not arrive whole: {error}",
+            remedy="send it again",
+        ) from error
+
+
+def _passed_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (field.removeprefix("HTTP_").replace("_", "-").title(), environ[field])
+        for field in PASSED_FIELDS
+        if environ.get(field)
+    )
+
+
+@functools.singledispatch
+def render(
+    result: outcome.Outcome, start_response: StartResponse
+) -> Iterable[bytes]:
+    """Writes an outcome as an HTTP answer and returns its body."""
+    raise TypeError(f"no rendering for {type(result).__name__}")
+
+
+@render.register
+def _(
+    result: outcome.Answered, start_response: StartResponse
+) -> Iterable[bytes]:
+    headers = [
+        (name, value)
+        for name, value in result.headers
+        if name.lower() != "content-length"
+    ]
+    headers.append((OUTCOME_HEADER, "answered"))
+    headers.append(("Content-Length", str(len(result.body))))
+    start_response(f"{result.status} Answered", headers)
+    return [result.body]
+
+
+@render.register
+def _(result: outcome.NotRun, start_response: StartResponse) -> Iterable[bytes]:
+    status = _STATUS.get(result.reason, _UNAVAILABLE)
+    return _problem(
+        status,
+        "not-run",
+        result.reason,
+        result.detail,
+        start_response,
+        retry_after_ms=result.retry_after_ms,
+    )
+
+
+@render.register
+def _(
+    result: outcome.Unknown, start_response: StartResponse
+) -> Iterable[bytes]:
+    return _problem(
+        _UNKNOWN, "unknown", result.reason, result.detail, start_response
+    )
+
+
+def _problem(
+    status: tuple[int, str],
+    kind: str,
+    reason: outcome.Reason,
+    detail: str,
+    start_response: StartResponse,
+    *,
+    retry_after_ms: int = 0,
+) -> Iterable[bytes]:
+    code, title = status
+    problem = {
+        "type": f"urn:primrosecross:problem:{reason.value}",
+        "title": title,
+        "status": code,
+        "detail": detail,
+        "outcome": kind,
+    }
+    body = json.dumps(problem).encode()
+    headers = [
+        ("Content-Type", "application/problem+json"),
+        ("Content-Length", str(len(body))),
+        (OUTCOME_HEADER, kind),
+    ]
+    if retry_after_ms:
+        headers.append(("Retry-After", str(-(-retry_after_ms // 1000))))
+    start_response(f"{code} {title}", headers)
+    return [body]
--- /dev/null
+++ b/primrosecross/adapters/object_archive.py
@@ -0,0 +1,142 @@
+"""The archive kept as objects in the platform's store."""
+
+import json
+import zlib
+from typing import Any
+
+import pydantic
+
+from primrosecross.domain import assignment
+from primrosecross.domain import errors
+from primrosecross.domain import plan
+from primrosecross.models import assignment as assignment_model
+from primrosecross.models import plan as plan_model
+from primrosecross.models import settings as settings_model
+from primrosecross.ports import archive as archive_port
+from primrosecross.ports import store as store_port
+
+PLANS = "plans"
+ASSIGNMENTS = "assignments"
+TERMS = "terms"
+NAME = "current"
+
+
+class TermModel(pydantic.BaseModel):
+    """The coordinator's term as stored."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    vm: str
+    peer_address: str
+    number: int = pydantic.Field(ge=1)
+    beat: int = pydantic.Field(ge=1)
+
+
+class ObjectArchive:
+    """Typed reads and conditional writes over the platform's store.
+
+    Args:
+        store: The platform's object service.
+    """
+
+    def __init__(self, *, store: store_port.Store) -> None:
+        self._store = store
+
+    def read_plan(self) -> tuple[plan.Plan | None, str]:
+        """Returns the plan."""
+        found = self._store.read(PLANS, NAME)
+        if found is None:
+            return None, ""
+        return plan_model.from_spec(found.spec), found.version
+
+    def write_plan(self, value: plan.Plan, version: str) -> str:
+        """Writes the plan; returns the store's new version."""
+        return self._write(PLANS, plan_model.to_spec(value), version)
+
+    def read_assignment(self) -> tuple[assignment.Assignment | None, str]:
+        """Returns the assignment."""
+        found = self._store.read(ASSIGNMENTS, NAME)
+        if found is None:
+            return None, ""
+        return assignment_model.from_spec(found.spec), found.version
+
+    def write_assignment(
+        self, value: assignment.Assignment, version: str
+    ) -> str:
+        """Writes the assignment; returns the store's new version."""
+        spec = assignment_model.to_spec(value)
+        return self._write(ASSIGNMENTS, spec, version)
+
+    def read_term(self) -> tuple[archive_port.Term | None, str]:
+        """Returns the coordinator's term."""
+        found = self._store.read(TERMS, NAME)
+        if found is None:
+            return None, ""
+        try:
+            model = TermModel.model_validate(found.spec)
+        except pydantic.ValidationError as error:
+            raise errors.StoreObjectError(
+                f"stored term: {settings_model.describe(error)}",
+                remedy="delete the object; a new term is written",
+            ) from error
+        return archive_port.Term(**model.model_dump()), found.version
+
+    def write_term(self, value: archive_port.Term, version: str) -> str:
+        """Writes the coordinator's term; returns the store's new version."""
+        spec = {
+            "vm": value.vm,
+            "peer_address": value.peer_address,
+            "number": value.number,
+            "beat": value.beat,
+        }
+        return self._write(TERMS, spec, version)
+
+    def wait_for_plan(self, version: str, timeout_ms: int) -> bool:
+        """Waits until the plan has changed since a store version."""
+        return self._store.wait_for_change(PLANS, version, timeout_ms)
+
+    def _write(self, kind: str, spec: dict[str, Any], version: str) -> str:
+        """Writes an object; a lost answer is resolved by reading it back."""
+        try:
+            if version:
+                return self._store.update(kind, NAME, spec, version).version
+            return self._store.create(kind, NAME, spec).version
+        except errors.StoreAnswerLostError:
+            found = self._store.read(kind, NAME)
+            if found is not None and found.spec == spec:
+                return found.version
+            raise
+
+
+class JsonStateCodec:
+    """Plan and assignment between daemons: deflated JSON of the models."""
+
+    def encode_plan(self, value: plan.Plan) -> bytes:
+        """Returns the encoded plan."""
+        return _deflate(plan_model.to_spec(value))
+
+    def decode_plan(self, data: bytes) -> plan.Plan:
+        """Returns the plan."""
+        return plan_model.from_spec(_inflate(data))
+
+    def encode_assignment(self, value: assignment.Assignment) -> bytes:
+        """Returns the encoded assignment."""
+        return _deflate(assignment_model.to_spec(value))
+
+    def decode_assignment(self, data: bytes) -> assignment.Assignment:
+        """Returns the assignment."""
+        return assignment_model.from_spec(_inflate(data))
+
+
+def _deflate(spec: dict[str, Any]) -> bytes:
+    return zlib.compress(json.dumps(spec).encode())
+
+
+def _inflate(data: bytes) -> dict[str, Any]:
+    try:
+        return json.loads(zlib.decompress(data))
+    except (ValueError, zlib.error) as error:
+        raise errors.PeerProtocolError(
+            f"a peer's state cannot be read: {error}",
+            remedy="check that both sides run compatible versions",
+        ) from error
--- /dev/null
+++ b/primrosecross/adapters/object_store.py
@@ -0,0 +1,204 @@
+"""Platform store over HTTP/JSON, in the Kubernetes API conventions.
+
+Published interface: Kubernetes API Conventions and API Concepts (resource
+versions, conditional PUT answered 409, watches answered 410 when too old).
+"""
+
+import json
+import logging
+from typing import Any
+
+import geventhttpclient
+from geventhttpclient import response as http_response
+
+from primrosecross.domain import errors
+from primrosecross.domain import events
+from primrosecross.ports import clock as clock_port
+from primrosecross.ports import store as store_port
+
+API_VERSION = "primrosecross.io/v1"
+REQUEST_TIMEOUT_MS = 2000
+CONNECTIONS = 4
+
+_logger = logging.getLogger(__name__)
+_KINDS = {"plans": "Plan", "assignments": "Assignment", "terms": "Term"}
+
+
+class ObjectStore:
+    """Client of the platform's object API; counts its calls.
+
+    Args:
+        url: Base URL, by IP number.
+        clock: Clock for measuring outages.
+        timeline: Where outages are recorded.
+    """
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        clock: clock_port.Clock,
+        timeline: events.Timeline,
+    ) -> None:
+        self._client = self._make_client(url, REQUEST_TIMEOUT_MS)
+        self._watcher_url = url
+        self._clock = clock
+        self._timeline = timeline
+        self._down_since_ns = 0
+        self.calls = 0
+
+    def _make_client(
+        self, url: str, timeout_ms: int
+    ) -> geventhttpclient.HTTPClient:
+        return geventhttpclient.HTTPClient.from_url(
+            url,
+            concurrency=CONNECTIONS,
+            connection_timeout=REQUEST_TIMEOUT_MS / 1000,
+            network_timeout=timeout_ms / 1000,
+        )
+
+    def read(self, kind: str, name: str) -> store_port.StoredObject | None:
+        """Returns an object, or None when it does not exist."""
+        status, body = self._request("GET", _path(kind, name))
+        if status == 404:
+            return None
+        _expect(status, (200,), kind, name)
+        return _stored(kind, body)
+
+    def create(
+        self, kind: str, name: str, spec: dict[str, Any]
+    ) -> store_port.StoredObject:
+        """Creates an object."""
+        body = _document(kind, name, "", spec)
+        status, answer = self._request("POST", _path(kind), body)
+        if status == 409:
+            raise _conflict(kind, name)
+        _expect(status, (200, 201), kind, name)
+        return _stored(kind, answer)
+
+    def update(
+        self, kind: str, name: str, spec: dict[str, Any], version: str
+    ) -> store_port.StoredObject:
+        """Replaces an object if its version is still the one given."""
+        body = _document(kind, name, version, spec)
+        status, answer = self._request("PUT", _path(kind, name), body)
+        if status in (404, 409):
+            raise _conflict(kind, name)
+        _expect(status, (200,), kind, name)
+        return _stored(kind, answer)
+
+    def wait_for_change(self, kind: str, version: str, timeout_ms: int) -> bool:
+        """Waits until a kind has changed since a version."""
+        self.calls += 1
+        path = (
+            f"{_path(kind)}?watch=1&resourceVersion={version or 0}"
+            f"&timeoutSeconds={max(1, timeout_ms // 1000)}"
+        )
+        client = self._make_client(
+            self._watcher_url, timeout_ms + REQUEST_TIMEOUT_MS
+        )
+        try:
+            answer = client.get(path)
+            if answer.status_code == 410:
+                return True
+            _expect(answer.status_code, (200,), kind, "watch")
+            return bool(answer.readline().strip())
+        except (OSError, ValueError, http_response.HTTPConnectionClosed) as e:
+            raise _unavailable(e) from e
+        finally:
+            client.close()
+
+    def _request(
+        self, method: str, path: str, document: dict[str, Any] | None = None
+    ) -> tuple[int, dict[str, Any]]:
+        self.calls += 1
+        body = b"" if document is None else json.dumps(document).encode()
+        headers = {"Content-Type": "application/json"}
+        try:
+            answer = self._client.request(method, path, body, headers)
+            status = answer.status_code
+            content = json.loads(answer.read() or b"{}")
+        except ConnectionRefusedError as error:
+            self._note_outage(str(error))
+            raise _unavailable(error) from error
+        except (OSError, ValueError, http_response.HTTPConnectionClosed) as e:
+            self._note_outage(str(e))
+            raise _failed(method, e) from e
+        if status >= 500 or status == 429:
+            self._note_outage(f"status {status}")
+            raise _unavailable(f"status {status}")
+        self._note_answer()
+        return status, content
+
+    def _note_outage(self, problem: str) -> None:
+        if not self._down_since_ns:
+            self._down_since_ns = self._clock.now_ns()
+            self._timeline.record(events.StoreOutage(problem))
+
+    def _note_answer(self) -> None:
+        if self._down_since_ns:
+            outage_ns = self._clock.now_ns() - self._down_since_ns
+            self._down_since_ns = 0
+            self._timeline.record(events.StoreReturned(outage_ns // 1_000_000))
+
+
+def _path(kind: str, name: str = "") -> str:
+    return f"/apis/{API_VERSION}/{kind}" + (f"/{name}" if name else "")
+
+
+def _document(
+    kind: str, name: str, version: str, spec: dict[str, Any]
+) -> dict[str, Any]:
+    return {
+        "apiVersion": API_VERSION,
+        "kind": _KINDS[kind],
+        "metadata": {"name": name, "resourceVersion": version},
+        "spec": spec,
+    }
+
+
+def _stored(kind: str, document: dict[str, Any]) -> store_port.StoredObject:
+    try:
+        metadata = document["metadata"]
+        return store_port.StoredObject(
+            kind=kind,
+            name=str(metadata["name"]),
+            version=str(metadata["resourceVersion"]),
+            spec=dict(document["spec"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.StoreObjectError(
+            f"the store's answer for {kind} lacks {error}",
+            remedy="check that store_url is the platform's object API",
+        ) from error
+
+
+def _expect(status: int, wanted: tuple[int, ...], kind: str, name: str) -> None:
+    if status not in wanted:
+        raise errors.StoreObjectError(
+            f"the store answered {status} for {kind}/{name}",
+            remedy="check that store_url is the platform's object API",
+        )
+
+
+def _conflict(kind: str, name: str) -> errors.StoreConflictError:
+    return errors.StoreConflictError(
+        f"{kind}/{name} has changed in the store",
+        remedy="read it again and decide anew",
+    )
+
+
+def _unavailable(cause: object) -> errors.StoreUnavailableError:
+    return errors.StoreUnavailableError(
+        f"the platform's store does not answer: {cause}",
+        remedy="owners go on; check the store and the network to it",
+    )
+
+
+def _failed(method: str, cause: Exception) -> errors.StoreError:
+    if method == "GET":
+        return _unavailable(cause)
+    return errors.StoreAnswerLostError(
+        f"the answer to a write was lost: {cause}",
+        remedy="read the object to learn whether the write took effect",
+    )
--- /dev/null
+++ b/primrosecross/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and the data classes they work on; no input or output."""
--- /dev/null
+++ b/primrosecross/domain/coordinator.py
@@ -0,0 +1,284 @@
+"""The coordinator: decides members and owners, and writes them to the store.
+
+Any daemon may hold the office. Two holders at once do no harm: every decision
+is a conditional write of the one assignment object, and no owner is replaced
+before its lease is proved lapsed or it has released the shard.
+"""
+
+import dataclasses
+import functools
+import logging
+import random
+from collections.abc import Callable
+
+import gevent
+from gevent import event as gevent_event
+
+from primrosecross.domain import assignment
+from primrosecross.domain import balance
+from primrosecross.domain import decisions
+from primrosecross.domain import election as election_module
+from primrosecross.domain import errors
+from primrosecross.domain import events
+from primrosecross.domain import lease as lease_module
+from primrosecross.domain import messages
+from primrosecross.domain import revocation
+from primrosecross.domain import state as state_module
+from primrosecross.ports import archive as archive_port
+from primrosecross.ports import clock as clock_port
+from primrosecross.ports import peers as peers_port
+
+WITNESSES = 3
+REFUSE_TIMEOUT_MS = 400
+REFUSE_PAUSE_MS = 100
+BATCH_MS = 20
+IDLE_MS = 500
+JOIN_WAIT_MS = 7000
+
+_logger = logging.getLogger(__name__)
+
+
+class Coordinator:
+    """Decides while its daemon holds the office.
+
+    Args:
+        vm: This VM's name.
+        election: Tells whether this daemon is in office.
+        state: Plan and assignment in force here.
+        archive: What lasts, in the store.
+        peers: Other daemons.
+        refuse_locally: Answers for this daemon's own witness.
+        clock: Clock that counts time spent suspended.
+        timing: Durations shared by the cluster.
+        timeline: Where decisions are recorded.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        election: election_module.Election,
+        state: state_module.State,
+        archive: archive_port.Archive,
+        peers: peers_port.Peers,
+        refuse_locally: Callable[[messages.Refuse], messages.Message],
+        clock: clock_port.Clock,
+        timing: lease_module.LeaseTiming,
+        timeline: events.Timeline,
+    ) -> None:
+        self._vm = vm
+        self._election = election
+        self._state = state
+        self._archive = archive
+        self._peers = peers
+        self._refuse_locally = refuse_locally
+        self._clock = clock
+        self._timing = timing
+        self._timeline = timeline
+        self._term_number = 0
+        self._store_version = ""
+        self._inbox: list[object] = []
+        self._suspicions: dict[tuple[str, int], dict[str, int]] = {}
+        self._revoking: dict[str, gevent.Greenlet] = {}
+        self._wake = gevent_event.Event()
+        self._take = functools.singledispatch(self._take_unknown)
+        self._take.register(messages.Join, self._take_join)
+        self._take.register(messages.Suspect, self._take_suspect)
+        self._take.register(messages.Release, self._take_in)
+        self._take.register(messages.Confirm, self._take_confirm)
+        self._take.register(messages.Drain, self._take_in)
+        self._take.register(messages.ListConfirmed, self._list_confirmed)
+        self.confirmed: dict[str, messages.Confirm] = {}
+
+    def handle(self, message: messages.Message) -> messages.Message:
+        """Takes in a message meant for the coordinator."""
+        if not self._election.in_office:
+            return messages.Failure(
+                f"{self._vm} is not the coordinator",
+                "read the coordinator's term again",
+            )
+        return self._take(message)
+
+    def _take_unknown(self, message: messages.Message) -> messages.Message:
+        return messages.Failure(
+            f"{type(message).__name__} is not for the coordinator",
+            "send it to the member concerned",
+        )
+
+    def _take_in(self, message: object) -> messages.Message:
+        self._inbox.append(message)
+        self._wake.set()
+        return messages.Done()
+
+    def _take_join(self, join: messages.Join) -> messages.Message:
+        self._take_in(join)
+        until_ns = self._clock.now_ns() + JOIN_WAIT_MS * lease_module.NS_PER_MS
+        while self._clock.now_ns() < until_ns:
+            member = self._state.assignment.members.get(join.vm)
+            if decisions.is_admitted(join, member):
+                return messages.Done()
+            self._clock.sleep(BATCH_MS)
+        return messages.Failure("admission takes long", "send Join again")
+
+    def _take_suspect(self, suspect: messages.Suspect) -> messages.Message:
+        member = self._state.assignment.members.get(suspect.vm)
+        if member is None or member.epoch != suspect.epoch:
+            return messages.Done()
+        now_ns = self._clock.now_ns()
+        recent_ns = now_ns - self._timing.suspect_ms * lease_module.NS_PER_MS
+        reports = self._suspicions.setdefault((suspect.vm, suspect.epoch), {})
+        reports[suspect.witness] = now_ns
+        current = {w for w, at_ns in reports.items() if at_ns >= recent_ns}
+        if len(current & set(member.witnesses)) > len(member.witnesses) // 2:
+            del self._suspicions[suspect.vm, suspect.epoch]
+            self._take_in(decisions.Suspected(suspect.vm, suspect.epoch))
+        return messages.Done()
+
+    def _take_confirm(self, confirm: messages.Confirm) -> messages.Message:
+        self.confirmed[confirm.vm] = confirm
+        return self._take_in(confirm)
+
+    def _list_confirmed(self, _: messages.ListConfirmed) -> messages.Message:
+        return messages.Confirmed(self._vm, tuple(self.confirmed.values()))
+
+    def run(self) -> None:
+        """Writes decisions while in office, until killed."""
+        while True:
+            self._wake.wait(timeout=IDLE_MS / 1000)
+            self._clock.sleep(BATCH_MS)
+            self._wake.clear()
+            if not self._election.in_office:
+                continue
+            try:
+                self._decide()
+            except errors.StoreError as error:
+                _logger.warning("no decision: %s", error)
+                self._store_version = ""
+                self._clock.sleep(REFUSE_PAUSE_MS * random.uniform(1, 3))
+                self._wake.set()
+
+    def _decide(self) -> None:
+        if self._term_number != self._election.term_number:
+            self._enter_office()
+        if not self._store_version:
+            self._read_assignment()
+        inbox = list(self._inbox)
+        draft = decisions.Draft(self._state.assignment.copy())
+        draft.assignment.version += 1
+        changed = sum(decisions.apply(message, draft) for message in inbox)
+        changed += self._maintain_witnesses(draft.assignment)
+        changed += self._assign(draft.assignment)
+        if changed:
+            self._write(draft)
+        waiting = [m for m in inbox if self._still_waits(m)]
+        self._inbox[: len(inbox)] = waiting
+        self._start_revocations()
+
+    def _enter_office(self) -> None:
+        self._term_number = self._election.term_number
+        self._store_version = ""
+        self.confirmed = {}
+
+    def _read_assignment(self) -> None:
+        stored, version = self._archive.read_assignment()
+        if stored is None:
+            stored = assignment.Assignment(version=1)
+            version = self._archive.write_assignment(stored, "")
+        if stored.version < self._state.assignment.version:
+            raise errors.StoreObjectError(
+                f"the store's assignment {stored.version} is older than "
+                f"{self._state.assignment.version}, which was in force",
+                remedy="restore the store's newer copy; nothing was changed",
+            )
+        self._state.offer_assignment(stored)
+        self._store_version = version
+
+    def _assign(self, draft: assignment.Assignment) -> int:
+        return sum(
+            balance.assign_shards(service, draft, generation=draft.version)
+            for service in self._state.plan.services.values()
+            if service.keyed
+        )
+
+    def _write(self, draft: decisions.Draft) -> None:
+        self._store_version = self._archive.write_assignment(
+            draft.assignment, self._store_version
+        )
+        self._state.offer_assignment(draft.assignment)
+        for event in draft.recorded:
+            self._timeline.record(event)
+
+    def _still_waits(self, message: object) -> bool:
+        if not isinstance(message, messages.Join):
+            return False
+        member = self._state.assignment.members.get(message.vm)
+        return not decisions.is_admitted(message, member)
+
+    def _maintain_witnesses(self, draft: assignment.Assignment) -> int:
+        changed = 0
+        for vm, member in list(draft.members.items()):
+            if member.previous_witnesses or (
+                member.state is assignment.MemberState.REVOKING
+            ):
+                continue
+            wanted = balance.choose_witnesses(
+                member, draft.members, count=WITNESSES
+            )
+            if not wanted or set(wanted) == set(member.witnesses):
+                continue
+            draft.members[vm] = dataclasses.replace(
+                member, witnesses=wanted, previous_witnesses=member.witnesses
+            )
+            changed += 1
+        return changed
+
+    def _start_revocations(self) -> None:
+        for member in self._state.assignment.members.values():
+            task = self._revoking.get(member.vm)
+            if member.state is assignment.MemberState.REVOKING and (
+                task is None or task.dead
+            ):
+                self._revoking[member.vm] = gevent.spawn(self._revoke, member)
+
+    def _revoke(self, member: assignment.Member) -> None:
+        """Gathers refusals until the member's lease is proved lapsed."""
+        sets = (member.witnesses, member.previous_witnesses)
+        proof = revocation.Revocation(
+            vm=member.vm,
+            epoch=member.epoch,
+            witness_sets=tuple(s for s in sets if s),
+            clock=self._clock,
+            timing=self._timing,
+        )
+        while self._election.in_office:
+            asks = [
+                gevent.spawn(self._ask_refusal, proof, witness)
+                for witness in proof.witnesses
+            ]
+            gevent.joinall(asks)
+            if proof.proven():
+                self._take_in(decisions.Lapsed(member.vm, member.epoch))
+                return
+            self._clock.sleep(REFUSE_PAUSE_MS)
+
+    def _ask_refusal(self, proof: revocation.Revocation, witness: str) -> None:
+        sent_ns = self._clock.now_ns()
+        question = messages.Refuse(vm=proof.vm, epoch=proof.epoch)
+        try:
+            ack = self._ask_witness(witness, question)
+        except errors.PeerError:
+            return
+        if isinstance(ack, messages.RefuseAck):
+            proof.record(
+                witness=witness,
+                incarnation=ack.incarnation,
+                silent_ms=ack.silent_ms,
+                sent_ns=sent_ns,
+            )
+
+    def _ask_witness(
+        self, witness: str, question: messages.Refuse
+    ) -> messages.Message:
+        if witness == self._vm:
+            return self._refuse_locally(question)
+        return self._peers.call(witness, question, timeout_ms=REFUSE_TIMEOUT_MS)
--- /dev/null
+++ b/primrosecross/domain/decisions.py
@@ -0,0 +1,156 @@
+"""Changes the coordinator makes to a draft of the assignment.
+
+Each message told to the coordinator has one decision, chosen by its type.
+"""
+
+import dataclasses
+import functools
+
+from primrosecross.domain import assignment
+from primrosecross.domain import events
+from primrosecross.domain import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lapsed:
+    """The member's lease is proved lapsed."""
+
+    vm: str
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspected:
+    """A majority of the member's witnesses suspect it."""
+
+    vm: str
+    epoch: int
+
+
+@dataclasses.dataclass(slots=True)
+class Draft:
+    """The next assignment and the events that led to it."""
+
+    assignment: assignment.Assignment
+    recorded: list[events.Event] = dataclasses.field(default_factory=list)
+
+
+@functools.singledispatch
+def apply(message: object, draft: Draft) -> int:
+    """Applies a message to the draft; returns the number of changes."""
+    raise TypeError(f"no decision for {type(message).__name__}")
+
+
+def is_admitted(join: messages.Join, member: assignment.Member | None) -> bool:
+    """Tells whether the member record is what the join asked for."""
+    return (
+        member is not None
+        and member.incarnation == join.incarnation
+        and member.offers == offers_of(join)
+    )
+
+
+def offers_of(join: messages.Join) -> tuple[assignment.Offer, ...]:
+    """Returns the targets that a join announces."""
+    return tuple(
+        assignment.Offer(o.service, o.slots, o.checks_generation)
+        for o in join.offers
+    )
+
+
+@apply.register
+def _(join: messages.Join, draft: Draft) -> int:
+    members = draft.assignment.members
+    present = members.get(join.vm)
+    if is_admitted(join, present):
+        return 0
+    if present is None:
+        members[join.vm] = _new_member(join, draft.assignment.version)
+        draft.recorded.append(
+            events.MemberJoined(join.vm, draft.assignment.version)
+        )
+        return 1
+    if present.incarnation == join.incarnation:
+        members[join.vm] = dataclasses.replace(present, offers=offers_of(join))
+        return 1
+    return _mark(draft, join.vm, assignment.MemberState.REVOKING)
+
+
+def _new_member(join: messages.Join, epoch: int) -> assignment.Member:
+    return assignment.Member(
+        vm=join.vm,
+        place=join.place,
+        region=join.region,
+        peer_address=join.peer_address,
+        incarnation=join.incarnation,
+        epoch=epoch,
+        witnesses=(),
+        offers=offers_of(join),
+    )
+
+
+def _mark(draft: Draft, vm: str, state: assignment.MemberState) -> int:
+    member = draft.assignment.members[vm]
+    if member.state in (state, assignment.MemberState.REVOKING):
+        return 0
+    draft.assignment.members[vm] = dataclasses.replace(member, state=state)
+    return 1
+
+
+@apply.register
+def _(suspected: Suspected, draft: Draft) -> int:
+    member = draft.assignment.members.get(suspected.vm)
+    if member is None or member.epoch != suspected.epoch:
+        return 0
+    return _mark(draft, suspected.vm, assignment.MemberState.REVOKING)
+
+
+@apply.register
+def _(drain: messages.Drain, draft: Draft) -> int:
+    if drain.vm not in draft.assignment.members:
+        return 0
+    return _mark(draft, drain.vm, assignment.MemberState.LEAVING)
+
+
+@apply.register
+def _(lapsed: Lapsed, draft: Draft) -> int:
+    member = draft.assignment.members.get(lapsed.vm)
+    if member is None or member.epoch != lapsed.epoch:
+        return 0
+    del draft.assignment.members[lapsed.vm]
+    shards = 0
+    for table in draft.assignment.tables.values():
+        shards += len(table.shards_of(lapsed.vm))
+        for shard, receiver in list(table.moves.items()):
+            if receiver == lapsed.vm:
+                del table.moves[shard]
+    draft.recorded.append(events.MemberRevoked(lapsed.vm, lapsed.epoch, shards))
+    return 1
+
+
+@apply.register
+def _(release: messages.Release, draft: Draft) -> int:
+    member = draft.assignment.members.get(release.vm)
+    table = draft.assignment.tables.get(release.service)
+    if table is None or member is None or member.epoch != release.epoch:
+        return 0
+    completed = 0
+    for shard in release.shards:
+        receiver = table.moves.get(shard)
+        if receiver and table.grant_of(shard).vm == release.vm:
+            table.set_owner(shard, receiver, draft.assignment.version)
+            completed += 1
+    return completed
+
+
+@apply.register
+def _(confirm: messages.Confirm, draft: Draft) -> int:
+    member = draft.assignment.members.get(confirm.vm)
+    if member is None or member.epoch != confirm.epoch:
+        return 0
+    if not member.previous_witnesses or member.witnesses != confirm.witnesses:
+        return 0
+    draft.assignment.members[confirm.vm] = dataclasses.replace(
+        member, previous_witnesses=()
+    )
+    return 1
--- /dev/null
+++ b/primrosecross/domain/election.py
@@ -0,0 +1,122 @@
+"""Election of the coordinator by a lease object in the store."""
+
+import logging
+import random
+
+from primrosecross.domain import assignment
+from primrosecross.domain import errors
+from primrosecross.domain import events
+from primrosecross.domain import lease as lease_module
+from primrosecross.domain import state as state_module
+from primrosecross.ports import archive as archive_port
+from primrosecross.ports import clock as clock_port
+
+RENEW_MS = 500
+TERM_MS = 2000
+CANDIDATES = 3
+
+_logger = logging.getLogger(__name__)
+
+
+class Election:
+    """Takes the office when it is free and renews it while held.
+
+    A term ends when its object has not changed for TERM_MS by the observer's
+    own clock. Only a few members are candidates, so that the store is read by
+    few.
+
+    Args:
+        vm: This VM's name.
+        peer_address: Where this daemon listens for others.
+        state: Assignment in force here, which names the candidates.
+        archive: Where the term is kept.
+        clock: Clock that counts time spent suspended.
+        timeline: Where elections are recorded.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        peer_address: str,
+        state: state_module.State,
+        archive: archive_port.Archive,
+        clock: clock_port.Clock,
+        timeline: events.Timeline,
+    ) -> None:
+        self._vm = vm
+        self._peer_address = peer_address
+        self._state = state
+        self._archive = archive
+        self._clock = clock
+        self._timeline = timeline
+        self._term: archive_port.Term | None = None
+        self._version = ""
+        self._changed_ns = clock.now_ns()
+        self._office_until_ns = 0
+
+    @property
+    def in_office(self) -> bool:
+        """Tells whether this daemon is the coordinator now."""
+        return self._clock.now_ns() < self._office_until_ns
+
+    @property
+    def term_number(self) -> int:
+        """Number of the term last seen."""
+        return self._term.number if self._term else 0
+
+    def run(self) -> None:
+        """Campaigns until killed."""
+        while True:
+            if self._is_candidate():
+                try:
+                    self.campaign()
+                except errors.StoreError as error:
+                    _logger.warning("coordinator's term: %s", error)
+                    self._version = ""
+            self._clock.sleep(RENEW_MS * random.uniform(0.8, 1.0))
+
+    def _is_candidate(self) -> bool:
+        active = sorted(
+            m.vm
+            for m in self._state.assignment.members.values()
+            if m.state is assignment.MemberState.ACTIVE
+        )
+        return len(active) < CANDIDATES or self._vm in active[:CANDIDATES]
+
+    def campaign(self) -> None:
+        """Renews the office, or takes it if its term has ended.
+
+        Raises:
+            errors.StoreError: The term could not be read or written.
+        """
+        asked_ns = self._clock.now_ns()
+        if not self._version or not self.in_office:
+            self._look(asked_ns)
+        if not self._may_write(asked_ns):
+            return
+        renewing = self.in_office
+        term = archive_port.Term(
+            vm=self._vm,
+            peer_address=self._peer_address,
+            number=self.term_number + (0 if renewing else 1),
+            beat=self._term.beat + 1 if self._term else 1,
+        )
+        self._version = self._archive.write_term(term, self._version)
+        self._term = term
+        self._changed_ns = asked_ns
+        self._office_until_ns = asked_ns + TERM_MS * lease_module.NS_PER_MS
+        if not renewing:
+            self._timeline.record(events.CoordinatorElected(term.number))
+
+    def _look(self, asked_ns: int) -> None:
+        term, version = self._archive.read_term()
+        if version != self._version or term != self._term:
+            self._changed_ns = asked_ns
+        self._term, self._version = term, version
+
+    def _may_write(self, asked_ns: int) -> bool:
+        if self._term is None or self._term.vm == self._vm:
+            return True
+        idle_ns = asked_ns - self._changed_ns
+        return idle_ns >= TERM_MS * lease_module.NS_PER_MS
--- /dev/null
+++ b/primrosecross/domain/events.py
@@ -0,0 +1,145 @@
+"""Typed events and the bounded time line of one process."""
+
+import collections
+import dataclasses
+
+from primrosecross.ports import clock as clock_port
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseGained:
+    """This daemon holds its lease."""
+
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseLost:
+    """This daemon's lease lapsed."""
+
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberJoined:
+    """The coordinator admitted a member."""
+
+    vm: str
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberSuspected:
+    """A member's heartbeats stopped."""
+
+    vm: str
+    epoch: int
+    silent_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberRevoked:
+    """A member's lease is proved lapsed and its shards were given away."""
+
+    vm: str
+    epoch: int
+    shards: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnersChanged:
+    """A newer assignment is in force here."""
+
+    assignment_version: int
+    owned_shards: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanInForce:
+    """A newer plan is in force here."""
+
+    plan_version: int
+    author: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CoordinatorElected:
+    """This daemon became the coordinator."""
+
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreOutage:
+    """The store stopped answering."""
+
+    problem: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreReturned:
+    """The store answers again."""
+
+    outage_ms: int
+
+
+Event = (
+    LeaseGained
+    | LeaseLost
+    | MemberJoined
+    | MemberSuspected
+    | MemberRevoked
+    | OwnersChanged
+    | PlanInForce
+    | CoordinatorElected
+    | StoreOutage
+    | StoreReturned
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """An event with where and when it happened.
+
+    Attributes:
+        vm: VM of the process that recorded it.
+        sequence: Position in that process's time line.
+        wall_ms: Wall clock of that process.
+        event: What happened.
+    """
+
+    vm: str
+    sequence: int
+    wall_ms: int
+    event: Event
+
+
+class Timeline:
+    """The latest events of this process.
+
+    Args:
+        vm: This VM's name.
+        clock: Source of wall-clock time.
+        capacity: Events kept; older ones are dropped.
+    """
+
+    def __init__(
+        self, *, vm: str, clock: clock_port.Clock, capacity: int = 4096
+    ) -> None:
+        self._vm = vm
+        self._clock = clock
+        self._entries: collections.deque[Entry] = collections.deque(
+            maxlen=capacity
+        )
+        self._sequence = 0
+
+    def record(self, event: Event) -> None:
+        """Appends an event."""
+        self._sequence += 1
+        self._entries.append(
+            Entry(self._vm, self._sequence, self._clock.wall_ms(), event)
+        )
+
+    def entries(self, *, after: int = 0) -> list[Entry]:
+        """Returns events with a sequence above the given one."""
+        return [e for e in self._entries if e.sequence > after]
--- /dev/null
+++ b/primrosecross/domain/executor.py
@@ -0,0 +1,126 @@
+"""Owner's side of a request: checks ownership, then runs it on a target."""
+
+import collections
+
+import gevent
+
+from primrosecross.domain import errors
+from primrosecross.domain import lease as lease_module
+from primrosecross.domain import messages
+from primrosecross.domain import office as office_module
+from primrosecross.domain import outcome
+from primrosecross.domain import request
+from primrosecross.domain import state as state_module
+from primrosecross.ports import clock as clock_port
+from primrosecross.ports import target as target_port
+
+RELEASE_PAUSE_MS = 50
+RELEASE_TIMEOUT_MS = 2000
+NOT_OWNER_RETRY_MS = 100
+
+
+class Executor:
+    """Runs requests on the targets beside this daemon.
+
+    Args:
+        vm: This VM's name.
+        state: Assignment in force here.
+        lease: This daemon's lease.
+        office: Reaches the coordinator.
+        targets: Targets on this VM.
+        clock: Clock that counts time spent suspended.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        state: state_module.State,
+        lease: lease_module.Lease,
+        office: office_module.Office,
+        targets: target_port.Targets,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._vm = vm
+        self._state = state
+        self._lease = lease
+        self._office = office
+        self._targets = targets
+        self._clock = clock
+        self._in_flight: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self.announced: dict[str, target_port.Announcement] = {}
+
+    def execute(self, req: request.Request) -> outcome.Outcome:
+        """Runs a request if this daemon owns its key now."""
+        announcement = self._find(req.service)
+        if announcement is None:
+            return outcome.NotRun(
+                outcome.Reason.NO_TARGET,
+                f"no target of {req.service} on {self._vm}",
+            )
+        service = self._state.plan.services.get(req.service)
+        if service is None or not service.keyed:
+            fence = target_port.Fence(0, 0)
+            return self._targets.run(announcement, req, fence)
+        return self._execute_owned(announcement, req)
+
+    def _find(self, service: str) -> target_port.Announcement | None:
+        for announcement in self.announced.values():
+            if announcement.service == service:
+                return announcement
+        return None
+
+    def _execute_owned(
+        self, announcement: target_port.Announcement, req: request.Request
+    ) -> outcome.Outcome:
+        shard, grant = self._state.assignment.grant_for(req.service, req.key)
+        if grant.vm != self._vm:
+            return _not_owner(f"{self._vm} does not own the key")
+        if shard in self._state.assignment.tables[req.service].moves:
+            return _not_owner("the key is being handed over")
+        if not self._lease.held():
+            return outcome.NotRun(
+                outcome.Reason.LEASE_LAPSED,
+                f"the lease of {self._vm} has lapsed",
+                NOT_OWNER_RETRY_MS,
+            )
+        fence = target_port.Fence(grant.generation, self._lease.expires_ns())
+        self._in_flight[req.service, shard] += 1
+        try:
+            return self._targets.run(announcement, req, fence)
+        finally:
+            self._in_flight[req.service, shard] -= 1
+
+    def hand_over(self) -> None:
+        """Releases shards that are to move, once they are idle."""
+        while True:
+            self._clock.sleep(RELEASE_PAUSE_MS)
+            member = self._state.member()
+            if member is None or member.epoch != self._lease.epoch:
+                continue
+            for table in self._state.assignment.tables.values():
+                idle = tuple(
+                    shard
+                    for shard in table.moves
+                    if table.grant_of(shard).vm == self._vm
+                    and not self._in_flight[table.service, shard]
+                )
+                if idle:
+                    self._release(member.epoch, table.service, idle)
+
+    def _release(
+        self, epoch: int, service: str, shards: tuple[int, ...]
+    ) -> None:
+        release = messages.Release(
+            vm=self._vm, epoch=epoch, service=service, shards=shards
+        )
+        try:
+            self._office.tell(release, timeout_ms=RELEASE_TIMEOUT_MS)
+        except (errors.StoreError, errors.PeerError):
+            gevent.sleep(RELEASE_PAUSE_MS / 1000)
+
+
+def _not_owner(detail: str) -> outcome.NotRun:
+    return outcome.NotRun(outcome.Reason.NOT_OWNER, detail, NOT_OWNER_RETRY_MS)
--- /dev/null
+++ b/primrosecross/domain/membership.py
@@ -0,0 +1,285 @@
+"""Keeps this daemon a member: joining, the lease, and its own vote."""
+
+import dataclasses
+import logging
+import random
+
+import gevent
+
+from primrosecross.domain import assignment
+from primrosecross.domain import errors
+from primrosecross.domain import events
+from primrosecross.domain import lease as lease_module
+from primrosecross.domain import messages
+from primrosecross.domain import office as office_module
+from primrosecross.domain import state as state_module
+from primrosecross.domain import sync as sync_module
+from primrosecross.domain import witness
+from primrosecross.ports import clock as clock_port
+from primrosecross.ports import peers as peers_port
+
+CHECK_MS = 100
+CONFIRM_TIMEOUT_MS = 2000
+CONFIRM_MS = 10_000
+WITNESS_CONFIRM_MS = 1000
+JOIN_TIMEOUT_MS = 8000
+MAX_BACKOFF_MS = 4000
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this daemon is."""
+
+    vm: str
+    place: str
+    region: str
+    peer_address: str
+    incarnation: str
+
+
+class Membership:
+    """Joins the cluster and renews the lease with each witness.
+
+    Args:
+        identity: Who this daemon is.
+        state: Plan and assignment in force here.
+        sync: Fetches newer state.
+        office: Reaches the coordinator.
+        peers: Other daemons.
+        lease: This daemon's lease.
+        register: This daemon's memory as a witness.
+        clock: Clock that counts time spent suspended.
+        timing: Durations shared by the cluster.
+        timeline: Where changes are recorded.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        state: state_module.State,
+        sync: sync_module.Sync,
+        office: office_module.Office,
+        peers: peers_port.Peers,
+        lease: lease_module.Lease,
+        register: witness.WitnessRegister,
+        clock: clock_port.Clock,
+        timing: lease_module.LeaseTiming,
+        timeline: events.Timeline,
+    ) -> None:
+        self._identity = identity
+        self._state = state
+        self._sync = sync
+        self._office = office
+        self._peers = peers
+        self._lease = lease
+        self._register = register
+        self._clock = clock
+        self._timing = timing
+        self._timeline = timeline
+        self._renewals: dict[str, gevent.Greenlet] = {}
+        self._confirmed: messages.Confirm | None = None
+        self._confirmed_ns = 0
+        self._held = False
+        self.offers: tuple[messages.OfferInfo, ...] = ()
+
+    def run(self) -> None:
+        """Keeps membership and lease until killed."""
+        backoff_ms = CHECK_MS
+        while True:
+            try:
+                self._check()
+                backoff_ms = CHECK_MS
+            except (errors.StoreError, errors.PeerError) as error:
+                backoff_ms = min(2 * backoff_ms, MAX_BACKOFF_MS)
+                _logger.warning("membership: %s", error)
+            self._clock.sleep(backoff_ms * random.uniform(0.5, 1.0))
+
+    def _check(self) -> None:
+        self._record_changes()
+        member = self._state.member()
+        if not self.offers:
+            return
+        if member is None or not self._is_current(member):
+            self._join()
+            return
+        self._keep_renewing(member)
+        if self._lease.epoch != member.epoch or self._lease.needs_proof():
+            self._prove()
+        elif self._lease.witnesses != member.witnesses:
+            self._lease.change_witnesses(member.witnesses)
+        self._confirm(member)
+
+    def _is_current(self, member: assignment.Member) -> bool:
+        announced = tuple(
+            assignment.Offer(o.service, o.slots, o.checks_generation)
+            for o in self.offers
+        )
+        return (
+            member.incarnation == self._identity.incarnation
+            and member.offers == announced
+        )
+
+    def _join(self) -> None:
+        join = messages.Join(
+            vm=self._identity.vm,
+            place=self._identity.place,
+            region=self._identity.region,
+            peer_address=self._identity.peer_address,
+            incarnation=self._identity.incarnation,
+            offers=self.offers,
+        )
+        self._office.tell(join, timeout_ms=JOIN_TIMEOUT_MS)
+        self._sync.read_store()
+
+    def _prove(self) -> None:
+        proven_ns = self._clock.now_ns()
+        self._sync.read_store()
+        member = self._state.member()
+        if member is None or not self._is_current(member):
+            return
+        if member.state is assignment.MemberState.REVOKING:
+            return
+        self._lease.start(
+            epoch=member.epoch,
+            witnesses=member.witnesses,
+            proven_ns=proven_ns,
+        )
+
+    def _keep_renewing(self, member: assignment.Member) -> None:
+        for name in {*member.witnesses, *self._lease.witnesses}:
+            task = self._renewals.get(name)
+            if task is None or task.dead:
+                self._renewals[name] = gevent.spawn(self._renew_with, name)
+
+    def _renew_with(self, name: str) -> None:
+        """One task for each witness."""
+        interval_ms = self._timing.heartbeat_ms
+        while True:
+            member = self._state.member()
+            if member is None:
+                return
+            if name not in {*member.witnesses, *self._lease.witnesses}:
+                return
+            started_ns = self._clock.now_ns()
+            self._beat(name, member.epoch)
+            took_ms = (
+                self._clock.now_ns() - started_ns
+            ) / lease_module.NS_PER_MS
+            jitter_ms = interval_ms * random.uniform(0.9, 1.0)
+            self._clock.sleep(max(0.0, jitter_ms - took_ms))
+
+    def _beat(self, name: str, epoch: int) -> None:
+        heartbeat = messages.Heartbeat(
+            vm=self._identity.vm,
+            incarnation=self._identity.incarnation,
+            epoch=epoch,
+            assignment_version=self._state.assignment.version,
+            plan_version=self._state.plan.version,
+        )
+        sent_ns = self._clock.now_ns()
+        try:
+            ack = self._peers.call(
+                name, heartbeat, timeout_ms=self._timing.heartbeat_ms
+            )
+        except errors.PeerError:
+            return
+        if not isinstance(ack, messages.HeartbeatAck):
+            return
+        if ack.granted:
+            self._lease.record_vote(
+                witness=name,
+                incarnation=ack.incarnation,
+                epoch=epoch,
+                sent_ns=sent_ns,
+            )
+        self._sync.heard(
+            name,
+            assignment_version=ack.assignment_version,
+            plan_version=ack.plan_version,
+        )
+
+    def answer_heartbeat(
+        self, beat: messages.Heartbeat
+    ) -> messages.HeartbeatAck:
+        """Votes on another member's heartbeat."""
+        ack = messages.HeartbeatAck(
+            incarnation=self._identity.incarnation,
+            granted=self._register.vote(beat.vm, beat.epoch),
+            assignment_version=self._state.assignment.version,
+            plan_version=self._state.plan.version,
+        )
+        gevent.spawn(
+            self._sync.heard,
+            beat.vm,
+            assignment_version=beat.assignment_version,
+            plan_version=beat.plan_version,
+        )
+        return ack
+
+    def answer_refuse(self, refuse: messages.Refuse) -> messages.RefuseAck:
+        """Stops voting for another member's epoch."""
+        return messages.RefuseAck(
+            incarnation=self._identity.incarnation,
+            silent_ms=self._register.refuse(refuse.vm, refuse.epoch),
+        )
+
+    def watch_others(self) -> None:
+        """Reports members that this daemon witnesses and that fell silent."""
+        while True:
+            self._clock.sleep(self._timing.heartbeat_ms / 2)
+            for silence in self._register.silences():
+                self._report(silence)
+
+    def _report(self, silence: witness.Silence) -> None:
+        member = self._state.assignment.members.get(silence.vm)
+        me = self._identity.vm
+        if member is None or me not in {
+            *member.witnesses,
+            *member.previous_witnesses,
+        }:
+            self._register.forget(silence.vm)
+            return
+        if member.epoch != silence.epoch:
+            return
+        suspect = messages.Suspect(
+            vm=silence.vm,
+            epoch=silence.epoch,
+            witness=me,
+            silent_ms=silence.silent_ms,
+        )
+        try:
+            self._office.tell(suspect, timeout_ms=CONFIRM_TIMEOUT_MS)
+        except (errors.StoreError, errors.PeerError) as error:
+            _logger.warning("cannot report %s: %s", silence.vm, error)
+
+    def _confirm(self, member: assignment.Member) -> None:
+        confirm = messages.Confirm(
+            vm=self._identity.vm,
+            epoch=member.epoch,
+            assignment_version=self._state.assignment.version,
+            plan_version=self._state.plan.version,
+            witnesses=self._lease.witnesses,
+        )
+        now_ns = self._clock.now_ns()
+        repeat_ms = CONFIRM_MS
+        if member.previous_witnesses:
+            repeat_ms = WITNESS_CONFIRM_MS
+        age_ms = (now_ns - self._confirmed_ns) / lease_module.NS_PER_MS
+        if confirm == self._confirmed and age_ms < repeat_ms:
+            return
+        self._office.tell(confirm, timeout_ms=CONFIRM_TIMEOUT_MS)
+        self._confirmed = confirm
+        self._confirmed_ns = now_ns
+
+    def _record_changes(self) -> None:
+        held = self._lease.held()
+        if held == self._held:
+            return
+        self._held = held
+        epoch = self._lease.epoch
+        self._timeline.record(
+            events.LeaseGained(epoch) if held else events.LeaseLost(epoch)
+        )
--- /dev/null
+++ b/primrosecross/domain/messages.py
@@ -0,0 +1,242 @@
+"""Messages between daemons, independent of their encoding.
+
+Messages that expect an answer name it in their docstring.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First message on each connection, in both directions."""
+
+    protocol: int
+    cluster: str
+    vm: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """Answer to a message that could not be handled."""
+
+    problem: str
+    remedy: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """Answer without content."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Asks a witness to keep the sender's lease; answered by HeartbeatAck."""
+
+    vm: str
+    incarnation: str
+    epoch: int
+    assignment_version: int
+    plan_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatAck:
+    """A witness's vote.
+
+    Attributes:
+        incarnation: The witness's own process identity.
+        granted: Whether the witness votes for the lease.
+        assignment_version: Version in force at the witness.
+        plan_version: Version in force at the witness.
+    """
+
+    incarnation: str
+    granted: bool
+    assignment_version: int
+    plan_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Asks a witness to stop voting for an epoch; answered by RefuseAck."""
+
+    vm: str
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefuseAck:
+    """A witness's promise to vote no more for the epoch.
+
+    Attributes:
+        incarnation: The witness's own process identity.
+        silent_ms: Time for which it has certainly given no vote.
+    """
+
+    incarnation: str
+    silent_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """Tells the coordinator that a member's heartbeats stopped."""
+
+    vm: str
+    epoch: int
+    witness: str
+    silent_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OfferInfo:
+    """A target beside the sender."""
+
+    service: str
+    slots: int
+    checks_generation: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """Asks the coordinator to admit the sender; answered by Done."""
+
+    vm: str
+    place: str
+    region: str
+    peer_address: str
+    incarnation: str
+    offers: tuple[OfferInfo, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Tells the coordinator that shards were let go; answered by Done."""
+
+    vm: str
+    epoch: int
+    service: str
+    shards: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirm:
+    """Tells the coordinator what is in force at the sender; answered by Done.
+
+    Attributes:
+        witnesses: Witnesses the sender's lease rests on.
+    """
+
+    vm: str
+    epoch: int
+    assignment_version: int
+    plan_version: int
+    witnesses: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """Asks the coordinator to have a member leave; answered by Done."""
+
+    vm: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListConfirmed:
+    """Asks the coordinator what members confirmed; answered by Confirmed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmed:
+    """What each member last confirmed to the coordinator."""
+
+    coordinator: str
+    confirms: tuple[Confirm, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchState:
+    """Asks for newer plan and assignment; answered by StateSnapshot."""
+
+    assignment_version: int
+    plan_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateSnapshot:
+    """Encoded plan and assignment; empty where not newer than asked for."""
+
+    plan: bytes
+    assignment: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """Hands a request to the owner; answered by one of the three outcomes.
+
+    Attributes:
+        generation: Grant under which the sender believes the receiver owns
+            the key; 0 for services without keys.
+        timeout_ms: Time left until the caller's deadline.
+    """
+
+    request_id: str
+    service: str
+    key: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    idempotent: bool
+    generation: int
+    timeout_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardAnswered:
+    """The target's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardNotRun:
+    """The request was refused and did not run."""
+
+    reason: str
+    detail: str
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardUnknown:
+    """The request may have run."""
+
+    reason: str
+    detail: str
+
+
+Message = (
+    Hello
+    | Failure
+    | Done
+    | Heartbeat
+    | HeartbeatAck
+    | Refuse
+    | RefuseAck
+    | Suspect
+    | Join
+    | Release
+    | Confirm
+    | Drain
+    | ListConfirmed
+    | Confirmed
+    | FetchState
+    | StateSnapshot
+    | Forward
+    | ForwardAnswered
+    | ForwardNotRun
+    | ForwardUnknown
+)
--- /dev/null
+++ b/primrosecross/domain/node.py
@@ -0,0 +1,206 @@
+"""One daemon's parts, joined together over the ports."""
+
+import dataclasses
+import functools
+import logging
+from collections.abc import Callable
+
+import gevent
+
+from primrosecross.domain import coordinator as coordinator_module
+from primrosecross.domain import election as election_module
+from primrosecross.domain import errors
+from primrosecross.domain import events
+from primrosecross.domain import executor as executor_module
+from primrosecross.domain import lease as lease_module
+from primrosecross.domain import membership as membership_module
+from primrosecross.domain import messages
+from primrosecross.domain import office as office_module
+from primrosecross.domain import operations as operations_module
+from primrosecross.domain import request
+from primrosecross.domain import router as router_module
+from primrosecross.domain import state as state_module
+from primrosecross.domain import sync as sync_module
+from primrosecross.domain import witness
+from primrosecross.ports import archive as archive_port
+from primrosecross.ports import clock as clock_port
+from primrosecross.ports import peers as peers_port
+from primrosecross.ports import target as target_port
+
+PLAN_WATCH_MS = 30_000
+PLAN_RETRY_MS = 1000
+TASK_RETRY_MS = 1000
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ports:
+    """Implementations of everything outside the domain."""
+
+    clock: clock_port.Clock
+    archive: archive_port.Archive
+    codec: archive_port.StateCodec
+    peers: peers_port.Peers
+    targets: target_port.Targets
+
+
+class Node:
+    """Decisions of one daemon.
+
+    Args:
+        identity: Who this daemon is.
+        ports: The outside.
+        timeline: Where events are recorded.
+        timing: Durations shared by the cluster.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: membership_module.Identity,
+        ports: Ports,
+        timeline: events.Timeline,
+        timing: lease_module.LeaseTiming,
+    ) -> None:
+        self._ports = ports
+        vm = identity.vm
+        clock = ports.clock
+        self.state = state_module.State(vm=vm, timeline=timeline)
+        self.lease = lease_module.Lease(clock=clock, timing=timing)
+        self.sync = sync_module.Sync(
+            state=self.state,
+            peers=ports.peers,
+            archive=ports.archive,
+            codec=ports.codec,
+        )
+        self.office = office_module.Office(
+            vm=vm, archive=ports.archive, peers=ports.peers, clock=clock
+        )
+        self.membership = membership_module.Membership(
+            identity=identity,
+            state=self.state,
+            sync=self.sync,
+            office=self.office,
+            peers=ports.peers,
+            lease=self.lease,
+            register=witness.WitnessRegister(clock=clock, timing=timing),
+            clock=clock,
+            timing=timing,
+            timeline=timeline,
+        )
+        self.election = election_module.Election(
+            vm=vm,
+            peer_address=identity.peer_address,
+            state=self.state,
+            archive=ports.archive,
+            clock=clock,
+            timeline=timeline,
+        )
+        self.coordinator = coordinator_module.Coordinator(
+            vm=vm,
+            election=self.election,
+            state=self.state,
+            archive=ports.archive,
+            peers=ports.peers,
+            refuse_locally=self.membership.answer_refuse,
+            clock=clock,
+            timing=timing,
+            timeline=timeline,
+        )
+        self.office.local = self.coordinator.handle
+        self.executor = executor_module.Executor(
+            vm=vm,
+            state=self.state,
+            lease=self.lease,
+            office=self.office,
+            targets=ports.targets,
+            clock=clock,
+        )
+        self.router = router_module.Router(
+            vm=vm,
+            state=self.state,
+            sync=self.sync,
+            executor=self.executor,
+            peers=ports.peers,
+            clock=clock,
+        )
+        self.operations = operations_module.Operations(
+            state=self.state, archive=ports.archive, office=self.office
+        )
+        self._answer = functools.singledispatch(self.coordinator.handle)
+        self._answer.register(
+            messages.Heartbeat, self.membership.answer_heartbeat
+        )
+        self._answer.register(messages.Refuse, self.membership.answer_refuse)
+        self._answer.register(messages.FetchState, self.sync.snapshot)
+        self._answer.register(messages.Forward, self._answer_forward)
+
+    def handle(self, message: messages.Message) -> messages.Message:
+        """Answers a message from another daemon."""
+        try:
+            return self._answer(message)
+        except errors.RouterError as error:
+            return messages.Failure(error.problem, error.remedy)
+
+    def _answer_forward(self, forward: messages.Forward) -> messages.Message:
+        deadline_ns = (
+            self._ports.clock.now_ns()
+            + forward.timeout_ms * lease_module.NS_PER_MS
+        )
+        req = request.Request(
+            request_id=forward.request_id,
+            service=forward.service,
+            key=forward.key,
+            method=forward.method,
+            path=forward.path,
+            headers=forward.headers,
+            body=forward.body,
+            idempotent=forward.idempotent,
+            deadline_ns=deadline_ns,
+        )
+        return router_module.answer_of(self.executor.execute(req))
+
+    def announced(self, announcement: target_port.Announcement) -> None:
+        """Takes in what a target beside this daemon says of itself."""
+        self.executor.announced[announcement.address] = announcement
+        self.membership.offers = tuple(
+            messages.OfferInfo(a.service, a.slots, a.checks_generation)
+            for _, a in sorted(self.executor.announced.items())
+        )
+
+    def start(self) -> None:
+        """Starts the daemon's tasks."""
+        for task in (
+            self.election.run,
+            self.coordinator.run,
+            self.membership.run,
+            self.membership.watch_others,
+            self.executor.hand_over,
+            self._watch_plan,
+        ):
+            gevent.spawn(self._keep_running, task)
+
+    def _keep_running(self, task: Callable[[], None]) -> None:
+        """Runs a task again when it fails, so that one fault stops no other."""
+        while True:
+            try:
+                task()
+            except Exception:
+                _logger.exception("a task failed; it is started again")
+                self._ports.clock.sleep(TASK_RETRY_MS)
+
+    def _watch_plan(self) -> None:
+        """While in office, brings plan changes in from the store."""
+        clock = self._ports.clock
+        while True:
+            clock.sleep(PLAN_RETRY_MS)
+            if not self.election.in_office:
+                continue
+            try:
+                found, version = self._ports.archive.read_plan()
+                if found is not None:
+                    self.state.offer_plan(found)
+                self._ports.archive.wait_for_plan(version, PLAN_WATCH_MS)
+            except errors.StoreError:
+                continue
--- /dev/null
+++ b/primrosecross/domain/outcome.py
@@ -0,0 +1,53 @@
+"""The three outcomes of a request, kept distinct up to the caller."""
+
+import dataclasses
+import enum
+
+
+class Reason(enum.StrEnum):
+    """Why a request was not answered."""
+
+    UNKNOWN_SERVICE = "unknown-service"
+    BAD_REQUEST = "bad-request"
+    BODY_TOO_LARGE = "body-too-large"
+    NO_OWNER = "no-owner"
+    NOT_OWNER = "not-owner"
+    LEASE_LAPSED = "lease-lapsed"
+    OWNER_UNREACHABLE = "owner-unreachable"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    NO_TARGET = "no-target"
+    LEAVING = "leaving"
+    TARGET_REFUSED = "target-refused"
+    QUARANTINED = "quarantined"
+    DUPLICATE = "duplicate"
+    ANSWER_LOST = "answer-lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The target's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request was refused and provably did not run."""
+
+    reason: Reason
+    detail: str
+    retry_after_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run; its answer is not known."""
+
+    reason: Reason
+    detail: str
+
+
+Outcome = Answered | NotRun | Unknown
--- /dev/null
+++ b/primrosecross/domain/request.py
@@ -0,0 +1,32 @@
+"""A caller's request as the decisions see it."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request of a caller, independent of how it was encoded.
+
+    Attributes:
+        request_id: Identity across resends; the caller's Idempotency-Key, or
+            one made at the border.
+        service: Name of the service in the plan.
+        key: The key, or an empty string for services without keys.
+        method: Method in upper case.
+        path: Path and query below the service, as sent to the target.
+        headers: Headers passed through to the target.
+        body: The whole body.
+        idempotent: Whether running it twice is harmless.
+        deadline_ns: Time on the local boot clock after which an answer is
+            useless to the caller.
+    """
+
+    request_id: str
+    service: str
+    key: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    idempotent: bool
+    deadline_ns: int
--- /dev/null
+++ b/primrosecross/domain/sync.py
@@ -0,0 +1,108 @@
+"""Brings this daemon's plan and assignment up to date.
+
+Versions travel on heartbeats; a daemon that hears of a newer one fetches it
+from the sender. The store is read only for proof and at start.
+"""
+
+import logging
+
+from primrosecross.domain import errors
+from primrosecross.domain import messages
+from primrosecross.domain import state as state_module
+from primrosecross.ports import archive as archive_port
+from primrosecross.ports import peers as peers_port
+
+FETCH_TIMEOUT_MS = 3000
+
+_logger = logging.getLogger(__name__)
+
+
+class Sync:
+    """Fetches newer state from peers and from the store.
+
+    Args:
+        state: State to keep up to date.
+        peers: Other daemons.
+        archive: What lasts, in the store.
+        codec: Encoding of state between daemons.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: state_module.State,
+        peers: peers_port.Peers,
+        archive: archive_port.Archive,
+        codec: archive_port.StateCodec,
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._archive = archive
+        self._codec = codec
+        self._fetching = False
+        state.subscribe(self._learn_addresses)
+
+    def heard(
+        self, vm: str, *, assignment_version: int, plan_version: int
+    ) -> None:
+        """Fetches from a peer if its versions are newer than ours."""
+        newer = (
+            assignment_version > self._state.assignment.version
+            or plan_version > self._state.plan.version
+        )
+        if not newer or self._fetching:
+            return
+        self._fetching = True
+        try:
+            self.fetch_from(vm)
+        finally:
+            self._fetching = False
+
+    def fetch_from(self, vm: str) -> None:
+        """Asks a peer for state newer than ours; logs what goes wrong."""
+        question = messages.FetchState(
+            assignment_version=self._state.assignment.version,
+            plan_version=self._state.plan.version,
+        )
+        try:
+            answer = self._peers.call(vm, question, timeout_ms=FETCH_TIMEOUT_MS)
+            if isinstance(answer, messages.StateSnapshot):
+                self._accept(answer)
+        except (errors.PeerError, errors.StoreObjectError) as error:
+            _logger.warning("no state from %s: %s", vm, error)
+
+    def _accept(self, snapshot: messages.StateSnapshot) -> None:
+        if snapshot.plan:
+            self._state.offer_plan(self._codec.decode_plan(snapshot.plan))
+        if snapshot.assignment:
+            self._state.offer_assignment(
+                self._codec.decode_assignment(snapshot.assignment)
+            )
+
+    def snapshot(self, question: messages.FetchState) -> messages.StateSnapshot:
+        """Answers a peer's question for newer state."""
+        plan = b""
+        assignment = b""
+        if self._state.plan.version > question.plan_version:
+            plan = self._codec.encode_plan(self._state.plan)
+        if self._state.assignment.version > question.assignment_version:
+            assignment = self._codec.encode_assignment(self._state.assignment)
+        return messages.StateSnapshot(plan=plan, assignment=assignment)
+
+    def read_store(self) -> None:
+        """Reads plan and assignment from the store.
+
+        Raises:
+            errors.StoreError: The store did not answer or holds something
+                that is not ours; the state in force is kept.
+        """
+        plan, _ = self._archive.read_plan()
+        if plan is not None:
+            self._state.offer_plan(plan)
+        assignment, _ = self._archive.read_assignment()
+        if assignment is not None:
+            self._state.offer_assignment(assignment)
+
+    def _learn_addresses(self) -> None:
+        for member in self._state.assignment.members.values():
+            self._peers.learn_address(member.vm, member.peer_address)
--- /dev/null
+++ b/primrosecross/models/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of everything that crosses the border."""
--- /dev/null
+++ b/primrosecross/models/assignment.py
@@ -0,0 +1,212 @@
+"""The assignment as the store and other daemons keep it."""
+
+import array
+import base64
+import zlib
+from typing import Any
+
+import pydantic
+
+from primrosecross.domain import assignment
+from primrosecross.domain import errors
+from primrosecross.models import settings
+
+_FORBID = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class OfferModel(pydantic.BaseModel):
+    """A target beside a member."""
+
+    model_config = _FORBID
+
+    service: str
+    slots: int = pydantic.Field(ge=1)
+    checks_generation: bool
+
+
+class MemberModel(pydantic.BaseModel):
+    """A member."""
+
+    model_config = _FORBID
+
+    vm: str
+    place: str
+    region: str
+    peer_address: str
+    incarnation: str
+    epoch: int = pydantic.Field(ge=1)
+    witnesses: tuple[str, ...]
+    previous_witnesses: tuple[str, ...]
+    state: assignment.MemberState
+    offers: tuple[OfferModel, ...]
+
+
+class KeyGrantModel(pydantic.BaseModel):
+    """Owner of a key set apart."""
+
+    model_config = _FORBID
+
+    shard: int
+    vm: str
+    generation: int
+
+
+class MoveModel(pydantic.BaseModel):
+    """A planned hand-over."""
+
+    model_config = _FORBID
+
+    shard: int
+    vm: str
+
+
+class TableModel(pydantic.BaseModel):
+    """Owners of one service's shards.
+
+    Attributes:
+        owner_index: Base64 of deflated little-endian 16-bit indices into vms.
+        generations: Base64 of deflated little-endian 64-bit generations.
+    """
+
+    model_config = _FORBID
+
+    service: str
+    vms: tuple[str, ...]
+    owner_index: str
+    generations: str
+    key_grants: tuple[KeyGrantModel, ...]
+    moves: tuple[MoveModel, ...]
+
+
+class AssignmentModel(pydantic.BaseModel):
+    """An assignment."""
+
+    model_config = _FORBID
+
+    version: int = pydantic.Field(ge=1)
+    members: tuple[MemberModel, ...]
+    tables: tuple[TableModel, ...]
+
+
+def to_spec(value: assignment.Assignment) -> dict[str, Any]:
+    """Returns an assignment in its stored form."""
+    return {
+        "version": value.version,
+        "members": [_member_spec(m) for m in value.members.values()],
+        "tables": [_table_spec(t) for t in value.tables.values()],
+    }
+
+
+def _member_spec(member: assignment.Member) -> dict[str, Any]:
+    return {
+        "vm": member.vm,
+        "place": member.place,
+        "region": member.region,
+        "peer_address": member.peer_address,
+        "incarnation": member.incarnation,
+        "epoch": member.epoch,
+        "witnesses": list(member.witnesses),
+        "previous_witnesses": list(member.previous_witnesses),
+        "state": member.state.value,
+        "offers": [
+            {
+                "service": offer.service,
+                "slots": offer.slots,
+                "checks_generation": offer.checks_generation,
+            }
+            for offer in member.offers
+        ],
+    }
+
+
+def _table_spec(table: assignment.OwnerTable) -> dict[str, Any]:
+    return {
+        "service": table.service,
+        "vms": list(table.vms),
+        "owner_index": _pack(table.owner_index),
+        "generations": _pack(table.generations),
+        "key_grants": [
+            {"shard": shard, "vm": grant.vm, "generation": grant.generation}
+            for shard, grant in table.key_grants.items()
+        ],
+        "moves": [
+            {"shard": shard, "vm": vm} for shard, vm in table.moves.items()
+        ],
+    }
+
+
+def _pack(values: array.array) -> str:
+    return base64.b64encode(zlib.compress(values.tobytes())).decode()
+
+
+def from_spec(spec: dict[str, Any]) -> assignment.Assignment:
+    """Returns an assignment from its stored form.
+
+    Raises:
+        errors.StoreObjectError: It does not validate.
+    """
+    try:
+        model = AssignmentModel.model_validate(spec)
+        tables = {t.service: _table(t) for t in model.tables}
+    except pydantic.ValidationError as error:
+        raise _corrupt(settings.describe(error)) from error
+    except (ValueError, zlib.error) as error:
+        raise _corrupt(str(error)) from error
+    members = {m.vm: _member(m) for m in model.members}
+    for table in tables.values():
+        _check_owners(table)
+    return assignment.Assignment(
+        version=model.version, members=members, tables=tables
+    )
+
+
+def _corrupt(problem: str) -> errors.StoreObjectError:
+    return errors.StoreObjectError(
+        f"stored assignment: {problem}",
+        remedy="restore the object; the last good one stays in force",
+    )
+
+
+def _member(model: MemberModel) -> assignment.Member:
+    return assignment.Member(
+        vm=model.vm,
+        place=model.place,
+        region=model.region,
+        peer_address=model.peer_address,
+        incarnation=model.incarnation,
+        epoch=model.epoch,
+        witnesses=model.witnesses,
+        previous_witnesses=model.previous_witnesses,
+        state=model.state,
+        offers=tuple(
+            assignment.Offer(o.service, o.slots, o.checks_generation)
+            for o in model.offers
+        ),
+    )
+
+
+def _table(model: TableModel) -> assignment.OwnerTable:
+    return assignment.OwnerTable(
+        service=model.service,
+        vms=list(model.vms),
+        owner_index=_unpack("H", model.owner_index),
+        generations=_unpack("Q", model.generations),
+        key_grants={
+            g.shard: assignment.Grant(g.vm, g.generation)
+            for g in model.key_grants
+        },
+        moves={m.shard: m.vm for m in model.moves},
+    )
+
+
+def _unpack(typecode: str, text: str) -> array.array:
+    values = array.array(typecode)
+    values.frombytes(zlib.decompress(base64.b64decode(text, validate=True)))
+    return values
+
+
+def _check_owners(table: assignment.OwnerTable) -> None:
+    if len(table.owner_index) != len(table.generations):
+        raise _corrupt(f"{table.service} has tables of different lengths")
+    if not table.vms or max(table.owner_index, default=0) >= len(table.vms):
+        raise _corrupt(f"{table.service} refers to an unknown owner")
--- /dev/null
+++ b/primrosecross/models/plan.py
@@ -0,0 +1,245 @@
+"""The plan as operators write it and as the store keeps it."""
+
+import functools
+import re
+from typing import Annotated
+from typing import Any
+from typing import Literal
+
+import pydantic
+
+from primrosecross.domain import errors
+from primrosecross.domain import plan
+from primrosecross.models import settings
+
+_NAME = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
+_FORBID = pydantic.ConfigDict(extra="forbid", frozen=True)
+MAX_PARTITIONS = 65_536
+MAX_BODY_BYTES = 1 << 30
+
+
+class PlaceModel(pydantic.BaseModel):
+    """An availability zone."""
+
+    model_config = _FORBID
+
+    name: str = pydantic.Field(pattern=_NAME)
+    region: str = pydantic.Field(pattern=_NAME)
+
+
+class WaitingPolicyModel(pydantic.BaseModel):
+    """Short waiting first."""
+
+    model_config = _FORBID
+
+    kind: Literal["waiting"]
+    max_wait_ms: int = pydantic.Field(default=50, ge=1, le=60_000)
+
+
+class CrestPolicyModel(pydantic.BaseModel):
+    """Answers within deadline at peak load first."""
+
+    model_config = _FORBID
+
+    kind: Literal["crest"]
+    max_queue: int = pydantic.Field(default=32, ge=0, le=10_000)
+
+
+PolicyModel = Annotated[
+    WaitingPolicyModel | CrestPolicyModel,
+    pydantic.Field(discriminator="kind"),
+]
+
+
+class ServiceModel(pydantic.BaseModel):
+    """A service."""
+
+    model_config = _FORBID
+
+    name: str = pydantic.Field(pattern=_NAME)
+    keyed: bool
+    key_pattern: str = "[A-Za-z0-9._~-]{1,128}"
+    partitions: int = pydantic.Field(default=1024, ge=1, le=MAX_PARTITIONS)
+    timeout_ms: int = pydantic.Field(default=10_000, ge=1, le=3_600_000)
+    max_body_bytes: int = pydantic.Field(
+        default=64 << 20, ge=0, le=MAX_BODY_BYTES
+    )
+    idempotent_methods: frozenset[str] = frozenset(
+        {"GET", "HEAD", "OPTIONS", "PUT", "DELETE"}
+    )
+    policy: PolicyModel
+
+    @pydantic.field_validator("key_pattern")
+    @classmethod
+    def _compiles(cls, value: str) -> str:
+        try:
+            re.compile(value)
+        except re.error as error:
+            raise ValueError(f"not a regular expression: {error}") from error
+        return value
+
+
+class PlanModel(pydantic.BaseModel):
+    """A plan."""
+
+    model_config = _FORBID
+
+    places: tuple[PlaceModel, ...]
+    services: tuple[ServiceModel, ...]
+
+    @pydantic.model_validator(mode="after")
+    def _names_are_unique(self) -> "PlanModel":
+        for field in ("places", "services"):
+            names = [item.name for item in getattr(self, field)]
+            twice = {name for name in names if names.count(name) > 1}
+            if twice:
+                raise ValueError(f"{field} names {sorted(twice)} twice")
+        return self
+
+
+class StoredPlanModel(pydantic.BaseModel):
+    """A plan with its version, as the store and other daemons keep it."""
+
+    model_config = _FORBID
+
+    version: int = pydantic.Field(ge=0)
+    author: str
+    plan: PlanModel
+
+
+def parse(data: bytes, *, version: int, author: str) -> plan.Plan:
+    """Validates an operator's plan.
+
+    Raises:
+        errors.PlanError: It does not validate.
+    """
+    try:
+        model = PlanModel.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        raise errors.PlanError(
+            f"plan: {settings.describe(error)}",
+            remedy="correct the field and apply again; nothing was changed",
+        ) from error
+    return _to_domain(
+        StoredPlanModel(version=version, author=author, plan=model)
+    )
+
+
+def to_spec(value: plan.Plan) -> dict[str, Any]:
+    """Returns a plan in its stored form."""
+    return _to_model(value).model_dump(mode="json")
+
+
+def from_spec(spec: dict[str, Any]) -> plan.Plan:
+    """Returns a plan from its stored form.
+
+    Raises:
+        errors.StoreObjectError: It does not validate.
+    """
+    try:
+        return _to_domain(StoredPlanModel.model_validate(spec))
+    except pydantic.ValidationError as error:
+        raise errors.StoreObjectError(
+            f"stored plan: {settings.describe(error)}",
+            remedy="apply a valid plan; the last good one stays in force",
+        ) from error
+
+
+def _to_domain(stored: StoredPlanModel) -> plan.Plan:
+    return plan.Plan(
+        version=stored.version,
+        author=stored.author,
+        places={
+            p.name: plan.Place(p.name, p.region) for p in stored.plan.places
+        },
+        services={s.name: _service(s) for s in stored.plan.services},
+    )
+
+
+def _service(model: ServiceModel) -> plan.Service:
+    return plan.Service(
+        name=model.name,
+        keyed=model.keyed,
+        key_pattern=model.key_pattern,
+        partitions=model.partitions,
+        timeout_ms=model.timeout_ms,
+        max_body_bytes=model.max_body_bytes,
+        idempotent_methods=model.idempotent_methods,
+        policy=_policy(model.policy),
+    )
+
+
+@functools.singledispatch
+def _policy(model: pydantic.BaseModel) -> plan.Policy:
+    raise TypeError(f"no policy for {type(model).__name__}")
+
+
+@_policy.register
+def _(model: WaitingPolicyModel) -> plan.Policy:
+    return plan.WaitingPolicy(max_wait_ms=model.max_wait_ms)
+
+
+@_policy.register
+def _(model: CrestPolicyModel) -> plan.Policy:
+    return plan.CrestPolicy(max_queue=model.max_queue)
+
+
+def _to_model(value: plan.Plan) -> StoredPlanModel:
+    services = tuple(
+        ServiceModel(
+            name=s.name,
+            keyed=s.keyed,
+            key_pattern=s.key_pattern,
+            partitions=s.partitions,
+            timeout_ms=s.timeout_ms,
+            max_body_bytes=s.max_body_bytes,
+            idempotent_methods=s.idempotent_methods,
+            policy=_policy_model(s.policy),
+        )
+        for s in value.services.values()
+    )
+    places = tuple(
+        PlaceModel(name=p.name, region=p.region) for p in value.places.values()
+    )
+    return StoredPlanModel(
+        version=value.version,
+        author=value.author,
+        plan=PlanModel(places=places, services=services),
+    )
+
+
+@functools.singledispatch
+def _policy_model(policy: plan.Policy) -> PolicyModel:
+    raise TypeError(f"no model for {type(policy).__name__}")
+
+
+@_policy_model.register
+def _(policy: plan.WaitingPolicy) -> PolicyModel:
+    return WaitingPolicyModel(kind="waiting", max_wait_ms=policy.max_wait_ms)
+
+
+@_policy_model.register
+def _(policy: plan.CrestPolicy) -> PolicyModel:
+    return CrestPolicyModel(kind="crest", max_queue=policy.max_queue)
+
+
+def render(value: plan.Plan) -> bytes:
+    """Returns a plan as operators write it."""
+    return _to_model(value).plan.model_dump_json(indent=2).encode()
+
+
+def differences(present: plan.Plan, candidate: plan.Plan) -> list[str]:
+    """Returns one line for each place or service that differs."""
+    lines = []
+    for field in ("places", "services"):
+        before = getattr(present, field)
+        after = getattr(candidate, field)
+        noun = field.removesuffix("s")
+        for name in sorted({*before, *after}):
+            if name not in after:
+                lines.append(f"- {noun} {name}")
+            elif name not in before:
+                lines.append(f"+ {noun} {name}")
+            elif before[name] != after[name]:
+                lines.append(f"~ {noun} {name}")
+    return lines
--- /dev/null
+++ b/primrosecross/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols through which the domain reaches the outside."""
--- /dev/null
+++ b/primrosecross/ports/peers.py
@@ -0,0 +1,25 @@
+"""Port to the other daemons."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from primrosecross.domain import messages
+
+Handler = Callable[[messages.Message], messages.Message]
+
+
+class Peers(Protocol):
+    """Other daemons, addressed by VM name."""
+
+    def call(
+        self, vm: str, message: messages.Message, *, timeout_ms: int
+    ) -> messages.Message:
+        """Sends a message and waits for its answer.
+
+        Raises:
+            errors.PeerUnsentError: It was never handed to a connection.
+            errors.PeerLostError: It was sent and no answer came.
+        """
+
+    def learn_address(self, vm: str, address: str) -> None:
+        """Sets where a VM's daemon listens, as "ip:port"."""
--- /dev/null
+++ b/primrosecross/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Operator protocol: the schema file and the code generated from it."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems that the router talks to."""
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,189 @@
+"""Starts a platform, daemons and targets as separate processes on loopback."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+
+READY_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vm:
+    """One VM of the fleet: a daemon and the target beside it.
+
+    Attributes:
+        name: Its name.
+        place: Its availability zone.
+        region: Its region.
+        service: Service of its target.
+        slots: Requests its target runs at once.
+        checks_generation: Whether its target refuses late requests.
+    """
+
+    name: str
+    place: str
+    region: str
+    service: str
+    slots: int = 16
+    checks_generation: bool = True
+
+
+class Fleet:
+    """Processes of one cluster.
+
+    Args:
+        vms: VMs to start.
+        directory: Where settings, logs and journals are written.
+        base_port: First of the ports used; five for each VM and one more.
+        cluster: Name of the cluster.
+    """
+
+    def __init__(
+        self,
+        *,
+        vms: list[Vm],
+        directory: pathlib.Path,
+        base_port: int,
+        cluster: str = "local",
+    ) -> None:
+        self.vms = {vm.name: vm for vm in vms}
+        self._index = {vm.name: i for i, vm in enumerate(vms)}
+        self._directory = directory
+        self._base_port = base_port
+        self._cluster = cluster
+        self.processes: dict[str, subprocess.Popen] = {}
+        directory.mkdir(parents=True, exist_ok=True)
+
+    @property
+    def store_url(self) -> str:
+        """Base URL of the platform stand-in."""
+        return f"http://127.0.0.1:{self._base_port}"
+
+    def port(self, vm: str, use: str) -> int:
+        """Returns a VM's port for peer, caller, operator, announce, target."""
+        uses = ("peer", "caller", "operator", "announce", "target")
+        first = self._base_port + 1 + len(uses) * self._index[vm]
+        return first + uses.index(use)
+
+    def address(self, vm: str, use: str) -> str:
+        """Returns "ip:port" for one of a VM's uses."""
+        return f"127.0.0.1:{self.port(vm, use)}"
+
+    def journal(self, vm: str) -> pathlib.Path:
+        """Returns the journal of a VM's target."""
+        return self._directory / f"{vm}.journal"
+
+    def log(self, name: str) -> pathlib.Path:
+        """Returns the log of a process."""
+        return self._directory / f"{name}.log"
+
+    def start(self) -> None:
+        """Starts the platform, then all VMs."""
+        self.start_platform()
+        for vm in self.vms:
+            self.start_vm(vm)
+
+    def start_platform(self) -> None:
+        """Starts the platform stand-in."""
+        self._spawn(
+            "platform", "standins.platform", "--port", str(self._base_port)
+        )
+
+    def start_vm(self, name: str) -> None:
+        """Starts a VM's daemon and target."""
+        self.start_daemon(name)
+        self.start_target(name)
+
+    def settings(self, name: str) -> dict:
+        """Returns the settings of a VM's daemon."""
+        vm = self.vms[name]
+        listens = {
+            use: {"host": "127.0.0.1", "port": self.port(name, use)}
+            for use in ("peer", "caller", "operator", "announce")
+        }
+        return {
+            "cluster": self._cluster,
+            "vm": name,
+            "place": vm.place,
+            "region": vm.region,
+            "store_url": self.store_url,
+            **listens,
+        }
+
+    def start_daemon(self, name: str) -> None:
+        """Starts a VM's daemon."""
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(self.settings(name)))
+        self._spawn(f"{name}-daemon", "primrosecross.daemon", str(path))
+
+    def start_target(self, name: str) -> None:
+        """Starts a VM's target."""
+        vm = self.vms[name]
+        arguments = [
+            "--vm",
+            name,
+            "--service",
+            vm.service,
+            "--port",
+            str(self.port(name, "target")),
+            "--daemon",
+            self.address(name, "announce"),
+            "--slots",
+            str(vm.slots),
+            "--journal",
+            str(self.journal(name)),
+        ]
+        if vm.checks_generation:
+            arguments.append("--checks-generation")
+        self._spawn(f"{name}-target", "standins.target", *arguments)
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        with self.log(name).open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def send_signal(self, vm: str, number: signal.Signals) -> None:
+        """Sends a signal to a VM's daemon and target."""
+        for part in ("daemon", "target"):
+            process = self.processes[f"{vm}-{part}"]
+            if process.poll() is None:
+                os.kill(process.pid, number)
+
+    def kill_vm(self, vm: str) -> None:
+        """Kills a VM's daemon and target."""
+        self.send_signal(vm, signal.SIGKILL)
+        for part in ("daemon", "target"):
+            self.processes[f"{vm}-{part}"].wait()
+
+    def set_faults(self, **faults: object) -> None:
+        """Switches the platform's faults."""
+        request = urllib.request.Request(
+            f"{self.store_url}/standin/faults",
+            data=json.dumps(faults).encode(),
+            method="POST",
+        )
+        urllib.request.urlopen(request, timeout=5).read()
+
+    def stop(self) -> None:
+        """Ends all processes, in an orderly way where they follow."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                os.kill(process.pid, signal.SIGCONT)
+                process.terminate()
+        until = time.monotonic() + 5
+        for process in self.processes.values():
+            try:
+                process.wait(timeout=max(0.1, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,227 @@
+"""Stand-in for a target: keyed state behind slots, with faults on request.
+
+Each request that runs appends a line to the journal. The path chooses what
+runs: /work?ms=N takes that long, /crash ends the process after the journal
+line, anything else answers at once. POST, PUT and DELETE count up the key.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import collections  # noqa: E402
+import dataclasses  # noqa: E402
+import json  # noqa: E402
+import os  # noqa: E402
+import pathlib  # noqa: E402
+import time  # noqa: E402
+from collections.abc import Callable  # noqa: E402
+from collections.abc import Iterable  # noqa: E402
+from typing import Any  # noqa: E402
+from urllib import parse  # noqa: E402
+
+import gevent  # noqa: E402
+import geventhttpclient  # noqa: E402
+import typer  # noqa: E402
+from gevent import pywsgi  # noqa: E402
+
+ANNOUNCE_EVERY_S = 2.0
+COLD_FACTOR = 4
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+@dataclasses.dataclass(slots=True)
+class Options:
+    """How this target behaves.
+
+    Attributes:
+        vm: Name of the VM it stands on.
+        service: Service it belongs to.
+        slots: Requests it runs at once.
+        checks_generation: Whether it refuses what its lease does not cover.
+        cold_s: Seconds after start during which work takes four times longer.
+        report_factor: Multiplies the load it reports, to mislead.
+    """
+
+    vm: str
+    service: str
+    slots: int
+    checks_generation: bool = False
+    cold_s: float = 0.0
+    report_factor: float = 1.0
+
+
+class Target:
+    """Runs requests and keeps a journal of what ran.
+
+    Args:
+        options: How it behaves.
+        journal: File that gets one JSON line for each request that ran.
+    """
+
+    def __init__(
+        self, *, options: Options, journal: pathlib.Path | None = None
+    ) -> None:
+        self._options = options
+        self._journal = journal
+        self._started_s = time.monotonic()
+        self._running: dict[str, gevent.Greenlet] = {}
+        self._draining = False
+        self._generations: dict[str, int] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def serve(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answers one HTTP request."""
+        control = {
+            "/standin/load": self._load,
+            "/standin/health": self._health,
+            "/standin/drain": self._drain,
+            "/standin/cancel": self._cancel,
+        }.get(environ["PATH_INFO"])
+        if control is not None:
+            return control(environ, start_response)
+        refusal = self._refusal(environ)
+        if refusal:
+            headers = [("Primrosecross-Not-Run", "true")]
+            start_response("503 Service Unavailable", headers)
+            return [refusal.encode()]
+        return self._run(environ, start_response)
+
+    def _load(self, _, start_response: StartResponse) -> Iterable[bytes]:
+        load = len(self._running) * self._options.report_factor
+        return _json(
+            start_response, {"running": load, "slots": self._options.slots}
+        )
+
+    def _health(self, _, start_response: StartResponse) -> Iterable[bytes]:
+        return _json(start_response, {"ready": not self._draining})
+
+    def _drain(self, _, start_response: StartResponse) -> Iterable[bytes]:
+        self._draining = True
+        return _json(start_response, {"running": len(self._running)})
+
+    def _cancel(self, environ, start_response: StartResponse):
+        request_id = environ.get("HTTP_PRIMROSECROSS_REQUEST_ID", "")
+        task = self._running.get(request_id)
+        if task is not None:
+            task.kill(block=False)
+        return _json(start_response, {"cancelled": task is not None})
+
+    def _refusal(self, environ: dict[str, Any]) -> str:
+        if self._draining:
+            return "draining"
+        if len(self._running) >= self._options.slots:
+            return "all slots are taken"
+        if not self._options.checks_generation:
+            return ""
+        generation = int(environ.get("HTTP_PRIMROSECROSS_GENERATION", 0))
+        expires = int(environ.get("HTTP_PRIMROSECROSS_LEASE_EXPIRES_NS", 0))
+        key = environ.get("HTTP_PRIMROSECROSS_KEY", "")
+        if generation and time.clock_gettime_ns(time.CLOCK_BOOTTIME) > expires:
+            return "the lease has expired"
+        if generation < self._generations.get(key, 0):
+            return "the generation is out of date"
+        self._generations[key] = generation
+        return ""
+
+    def _run(self, environ, start_response: StartResponse) -> Iterable[bytes]:
+        request_id = environ.get("HTTP_PRIMROSECROSS_REQUEST_ID", "")
+        self._running[request_id] = gevent.getcurrent()
+        started_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        try:
+            body = environ["wsgi.input"].read()
+            key = environ.get("HTTP_PRIMROSECROSS_KEY", "")
+            if environ["REQUEST_METHOD"] != "GET":
+                self.counts[key] += 1
+            self._write_journal(environ, key, started_ns)
+            if environ["PATH_INFO"].endswith("/crash"):
+                os._exit(1)
+            gevent.sleep(self._work_s(environ))
+            answer = {
+                "vm": self._options.vm,
+                "key": key,
+                "request_id": request_id,
+                "count": self.counts[key],
+                "body_bytes": len(body),
+            }
+            return _json(start_response, answer)
+        finally:
+            self._running.pop(request_id, None)
+
+    def _work_s(self, environ: dict[str, Any]) -> float:
+        query = parse.parse_qs(environ.get("QUERY_STRING", ""))
+        work_s = float(query.get("ms", ["0"])[0]) / 1000
+        if time.monotonic() - self._started_s < self._options.cold_s:
+            return work_s * COLD_FACTOR
+        return work_s
+
+    def _write_journal(self, environ, key: str, started_ns: int) -> None:
+        if self._journal is None:
+            return
+        line = {
+            "vm": self._options.vm,
+            "service": self._options.service,
+            "key": key,
+            "request_id": environ.get("HTTP_PRIMROSECROSS_REQUEST_ID", ""),
+            "generation": int(environ.get("HTTP_PRIMROSECROSS_GENERATION", 0)),
+            "method": environ["REQUEST_METHOD"],
+            "started_ns": started_ns,
+        }
+        with self._journal.open("a") as file:
+            file.write(json.dumps(line) + "\n")
+
+    def announce_forever(self, daemon: str, address: str) -> None:
+        """Announces this target to the daemon beside it, again and again."""
+        host, _, port = daemon.rpartition(":")
+        body = json.dumps(
+            {
+                "service": self._options.service,
+                "address": address,
+                "slots": self._options.slots,
+                "checks_generation": self._options.checks_generation,
+            }
+        )
+        while True:
+            client = geventhttpclient.HTTPClient(host, int(port))
+            try:
+                client.post("/v1/announce", body)
+                gevent.sleep(ANNOUNCE_EVERY_S)
+            except OSError:
+                gevent.sleep(0.2)
+            finally:
+                client.close()
+
+
+def _json(
+    start_response: StartResponse, document: dict[str, Any]
+) -> Iterable[bytes]:
+    start_response("200 OK", [("Content-Type", "application/json")])
+    return [json.dumps(document).encode()]
+
+
+def run(
+    vm: str = typer.Option(..., help="VM it stands on."),
+    service: str = typer.Option(..., help="Service it belongs to."),
+    port: int = typer.Option(..., help="TCP port to listen on."),
+    daemon: str = typer.Option(..., help="Daemon's announce ip:port."),
+    slots: int = typer.Option(16, help="Requests it runs at once."),
+    checks_generation: bool = typer.Option(False, "--checks-generation"),
+    cold_s: float = typer.Option(0.0, help="Seconds of slow start."),
+    journal: pathlib.Path | None = typer.Option(None),  # noqa: B008
+) -> None:
+    """Serves one target on loopback."""
+    options = Options(vm, service, slots, checks_generation, cold_s)
+    target = Target(options=options, journal=journal)
+    address = f"127.0.0.1:{port}"
+    gevent.spawn(target.announce_forever, daemon, address)
+    server = pywsgi.WSGIServer(
+        ("127.0.0.1", port), target.serve, log=None, error_log=None
+    )
+    server.serve_forever()
+
+
+if __name__ == "__main__":
+    typer.run(run)
