--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,5 @@
 """Tests."""
+
+from gevent import monkey
+
+monkey.patch_all()
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,119 @@
+"""Leases, witnesses and revocation on a manual clock."""
+
+import unittest
+
+from primrosecross.domain import lease
+from primrosecross.domain import revocation
+from primrosecross.domain import witness
+from tests import fakes
+
+WITNESSES = ("w1", "w2", "w3")
+TIMING = lease.LeaseTiming()
+
+
+class LeaseTest(unittest.TestCase):
+    """One holder and three witnesses."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.ManualClock()
+        self.registers = {name: self._register() for name in WITNESSES}
+        self.incarnations = dict.fromkeys(WITNESSES, 1)
+        self.clock.advance(TIMING.duration_ms)
+        self.lease = lease.Lease(clock=self.clock, timing=TIMING)
+        self.lease.start(
+            epoch=5, witnesses=WITNESSES, proven_ns=self.clock.now_ns()
+        )
+
+    def _register(self) -> witness.WitnessRegister:
+        return witness.WitnessRegister(clock=self.clock, timing=TIMING)
+
+    def _restart(self, name: str) -> None:
+        self.registers[name] = self._register()
+        self.incarnations[name] += 1
+
+    def _beat(self, *names: str) -> None:
+        for name in names or WITNESSES:
+            if self.registers[name].vote("vm", 5):
+                self.lease.record_vote(
+                    witness=name,
+                    incarnation=str(self.incarnations[name]),
+                    epoch=5,
+                    sent_ns=self.clock.now_ns(),
+                )
+
+    def _revocation(self) -> revocation.Revocation:
+        return revocation.Revocation(
+            vm="vm",
+            epoch=5,
+            witness_sets=(WITNESSES,),
+            clock=self.clock,
+            timing=TIMING,
+        )
+
+    def _refuse(self, proof: revocation.Revocation, *names: str) -> None:
+        for name in names:
+            proof.record(
+                witness=name,
+                incarnation=str(self.incarnations[name]),
+                silent_ms=self.registers[name].refuse("vm", 5),
+                sent_ns=self.clock.now_ns(),
+            )
+
+    def test_majority_keeps_the_lease(self):
+        self._beat("w1")
+        self.assertFalse(self.lease.held())
+        self._beat("w2")
+        self.assertTrue(self.lease.held())
+        self.clock.advance(TIMING.duration_ms)
+        self.assertFalse(self.lease.held())
+
+    def test_lapsed_lease_resumes_with_the_same_witnesses(self):
+        self._beat()
+        self.clock.advance(10 * TIMING.duration_ms)
+        self.assertFalse(self.lease.held())
+        self._beat()
+        self.assertTrue(self.lease.held())
+
+    def test_revocation_waits_out_the_lease(self):
+        self._beat()
+        proof = self._revocation()
+        self._refuse(proof, "w1", "w2")
+        self.assertFalse(proof.proven())
+        while not proof.proven():
+            self.clock.advance(50)
+            self._beat()
+            self._refuse(proof, "w1", "w2")
+        self.assertFalse(self.lease.held())
+
+    def test_restarted_witnesses_cannot_revive_a_revoked_lease(self):
+        self._beat()
+        proof = self._revocation()
+        while not proof.proven():
+            self.clock.advance(50)
+            self._refuse(proof, "w1", "w2")
+        self._restart("w1")
+        self._restart("w2")
+        for _ in range(100):
+            self.clock.advance(100)
+            self._beat()
+            self.assertFalse(self.lease.held())
+
+    def test_witness_restart_interrupts_the_proof(self):
+        self._beat()
+        proof = self._revocation()
+        self._refuse(proof, "w1", "w2")
+        self.clock.advance(TIMING.duration_ms)
+        self._beat("w3")
+        self._restart("w1")
+        self._refuse(proof, "w1", "w2")
+        self.clock.advance(TIMING.drift_ms)
+        self._refuse(proof, "w2")
+        self.assertFalse(proof.proven())
+
+    def test_proof_of_a_long_silence_needs_no_wait(self):
+        self._beat()
+        self.clock.advance(TIMING.duration_ms + TIMING.drift_ms)
+        proof = self._revocation()
+        self._refuse(proof, "w1", "w3")
+        self.assertTrue(proof.proven())
+        self.assertFalse(self.lease.held())
