--- a/examples/demo.py
+++ b/examples/demo.py
@@ -144,7 +144,7 @@
             if vm != victim:
                 request = operator_pb2.ListEventsRequest()
                 entries += self._stub(vm).ListEvents(request).events
-        entries.sort(key=lambda entry: entry.wall_ms)
+        entries.sort(key=lambda entry: entry.stamp)
         first_ms = entries[0].wall_ms
         for entry in entries:
             print(
--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -160,6 +160,7 @@
                 operator_pb2.EventEntry(
                     vm=entry.vm,
                     sequence=entry.sequence,
+                    stamp=entry.stamp,
                     wall_ms=entry.wall_ms,
                     kind=type(entry.event).__name__,
                     detail_json=json.dumps(dataclasses.asdict(entry.event)),
--- a/primrosecross/adapters/peer_codec.py
+++ b/primrosecross/adapters/peer_codec.py
@@ -1,7 +1,7 @@
 """Encoding of messages between daemons as msgpack.
 
-A frame is [call number, is answer, kind, fields...]; fields follow the
-order of the message's data class.
+A frame is [call number, is answer, stamp, kind, fields...]; fields follow
+the order of the message's data class.
 """
 
 import dataclasses
@@ -20,10 +20,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Frame:
-    """A message with the call it belongs to."""
+    """A message with the call it belongs to and the time it was sent."""
 
     call: int
     is_answer: bool
+    stamp: int
     message: messages.Message
 
 
@@ -50,7 +51,7 @@
 def encode(frame: Frame) -> bytes:
     """Returns the bytes of a frame."""
     kind = _BY_TYPE[type(frame.message)]
-    parts = [frame.call, frame.is_answer, kind.name]
+    parts = [frame.call, frame.is_answer, frame.stamp, kind.name]
     parts += kind.values(frame.message)
     return msgpack.packb(parts, default=dataclasses.asdict)
 
@@ -81,13 +82,14 @@
 
 
 def _frame(parts: object) -> Frame:
-    if not isinstance(parts, list) or len(parts) < 3:
+    if not isinstance(parts, list) or len(parts) < 4:
         raise ValueError("not a frame")
-    call, is_answer, name, *values = parts
+    call, is_answer, stamp, name, *values = parts
     kind = _BY_NAME.get(name) if isinstance(name, str) else None
-    if kind is None or type(call) is not int or type(is_answer) is not bool:
+    typed = (type(call), type(is_answer), type(stamp)) == (int, bool, int)
+    if kind is None or not typed:
         raise ValueError("not a known message")
     if len(values) != len(kind.fields):
         raise ValueError(f"{name} has {len(values)} fields")
     named = dict(zip(kind.fields, values, strict=True))
-    return Frame(call, is_answer, kind.adapter.validate_python(named))
+    return Frame(call, is_answer, stamp, kind.adapter.validate_python(named))
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peer_streams.py
@@ -16,6 +16,7 @@
 from primrosecross.adapters import peer_codec
 from primrosecross.domain import errors
 from primrosecross.domain import messages
+from primrosecross.domain import stamp
 from primrosecross.ports import peers as peers_port
 
 PROTOCOL = 1
@@ -34,6 +35,7 @@
         sock: Connected socket.
         hello: What this side says of itself.
         handler: Answers messages from the other side.
+        stamps: Stamps sent and received messages.
     """
 
     def __init__(
@@ -42,7 +44,9 @@
         sock: gevent_socket.socket,
         hello: messages.Hello,
         handler: peers_port.Handler,
+        stamps: stamp.StampClock,
     ) -> None:
+        self._stamps = stamps
         self._sock = sock
         self._hello = hello
         self._handler = handler
@@ -60,7 +64,7 @@
         """Greets and reads until the connection ends."""
         writer = gevent.spawn(self._write)
         try:
-            self._post(peer_codec.Frame(0, False, self._hello))
+            self._post(0, self._hello, is_answer=False)
             self._read()
         except (OSError, errors.PeerError) as error:
             _logger.info("peer connection ended: %s", error)
@@ -74,6 +78,7 @@
                 self._receive(frame)
 
     def _receive(self, frame: peer_codec.Frame) -> None:
+        self._stamps.observe(frame.stamp)
         if self.other is None:
             self._greet(frame.message)
         elif frame.is_answer:
@@ -101,10 +106,15 @@
 
     def _answer(self, frame: peer_codec.Frame) -> None:
         answer = self._handler(frame.message)
-        self._post(peer_codec.Frame(frame.call, True, answer))
+        self._post(frame.call, answer, is_answer=True)
 
-    def _post(self, frame: peer_codec.Frame) -> None:
+    def _post(
+        self, call: int, message: messages.Message, *, is_answer: bool
+    ) -> None:
         if not self.closed:
+            frame = peer_codec.Frame(
+                call, is_answer, self._stamps.now(), message
+            )
             self._pending.append(peer_codec.encode(frame))
             self._ready.set()
 
@@ -135,7 +145,7 @@
         number = self._last_call
         waiting = gevent_event.AsyncResult()
         self._calls[number] = waiting
-        self._post(peer_codec.Frame(number, False, message))
+        self._post(number, message, is_answer=False)
         try:
             return waiting.get(timeout=timeout_ms / 1000)
         except gevent.Timeout as error:
@@ -171,11 +181,17 @@
     Args:
         hello: What this daemon says of itself.
         listen: Address to listen on, as (ip, port).
+        stamps: Stamps sent and received messages.
     """
 
     def __init__(
-        self, *, hello: messages.Hello, listen: tuple[str, int]
+        self,
+        *,
+        hello: messages.Hello,
+        listen: tuple[str, int],
+        stamps: stamp.StampClock,
     ) -> None:
+        self._stamps = stamps
         self._hello = hello
         self._addresses: dict[str, str] = {}
         self._connections: dict[str, Connection] = {}
@@ -242,7 +258,12 @@
         self._connections[vm] = connection
 
     def _make(self, sock: gevent_socket.socket) -> Connection:
-        return Connection(sock=sock, hello=self._hello, handler=self._handle)
+        return Connection(
+            sock=sock,
+            hello=self._hello,
+            handler=self._handle,
+            stamps=self._stamps,
+        )
 
     def _handle(self, message: messages.Message) -> messages.Message:
         return self.handler(message)
--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -30,6 +30,7 @@
 from primrosecross.domain import membership  # noqa: E402
 from primrosecross.domain import messages  # noqa: E402
 from primrosecross.domain import node as node_module  # noqa: E402
+from primrosecross.domain import stamp  # noqa: E402
 from primrosecross.models import settings as settings_model  # noqa: E402
 
 EXIT_INVALID = 2
@@ -54,7 +55,10 @@
             peer_address=settings.peer.address,
             incarnation=uuid.uuid4().hex,
         )
-        self.timeline = events.Timeline(vm=settings.vm, clock=clock)
+        stamps = stamp.StampClock(clock=clock)
+        self.timeline = events.Timeline(
+            vm=settings.vm, clock=clock, stamps=stamps
+        )
         store = object_store.ObjectStore(
             url=settings.store_url, clock=clock, timeline=self.timeline
         )
@@ -66,6 +70,7 @@
                 incarnation=identity.incarnation,
             ),
             listen=_pair(settings.peer),
+            stamps=stamps,
         )
         ports = node_module.Ports(
             clock=clock,
--- a/primrosecross/domain/events.py
+++ b/primrosecross/domain/events.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from primrosecross.domain import stamp
 from primrosecross.ports import clock as clock_port
 
 
@@ -104,12 +105,14 @@
     Attributes:
         vm: VM of the process that recorded it.
         sequence: Position in that process's time line.
+        stamp: Hybrid logical time; orders events over processes.
         wall_ms: Wall clock of that process.
         event: What happened.
     """
 
     vm: str
     sequence: int
+    stamp: int
     wall_ms: int
     event: Event
 
@@ -120,12 +123,19 @@
     Args:
         vm: This VM's name.
         clock: Source of wall-clock time.
+        stamps: Source of logical time, shared with the peer connections.
         capacity: Events kept; older ones are dropped.
     """
 
     def __init__(
-        self, *, vm: str, clock: clock_port.Clock, capacity: int = 4096
+        self,
+        *,
+        vm: str,
+        clock: clock_port.Clock,
+        stamps: stamp.StampClock,
+        capacity: int = 4096,
     ) -> None:
+        self._stamps = stamps
         self._vm = vm
         self._clock = clock
         self._entries: collections.deque[Entry] = collections.deque(
@@ -137,7 +147,13 @@
         """Appends an event."""
         self._sequence += 1
         self._entries.append(
-            Entry(self._vm, self._sequence, self._clock.wall_ms(), event)
+            Entry(
+                vm=self._vm,
+                sequence=self._sequence,
+                stamp=self._stamps.now(),
+                wall_ms=self._clock.wall_ms(),
+                event=event,
+            )
         )
 
     def entries(self, *, after: int = 0) -> list[Entry]:
