Count bytes between daemons and show them in the status

Cause: the control budget of 28 KB/s a node could not be measured; the process's read and write counters leave sockets out. Change: a byte counter over all peer connections, in GetStatusReply.

--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -7,6 +7,7 @@
 
 import grpc
 
+from primrosecross.adapters import peer_streams
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import lease as lease_module
@@ -42,6 +43,7 @@
         lease: This daemon's lease.
         timeline: This daemon's events.
         store_calls: Returns the number of calls made to the store.
+        traffic: Bytes over connections to other daemons.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         lease: lease_module.Lease,
         timeline: events.Timeline,
         store_calls: Callable[[], int],
+        traffic: peer_streams.Traffic,
     ) -> None:
         self._vm = vm
         self._operations = operations
@@ -60,6 +63,7 @@
         self._lease = lease
         self._timeline = timeline
         self._store_calls = store_calls
+        self._traffic = traffic
 
     def ApplyPlan(self, request, context):  # noqa: N802
         """Validates and stores a plan."""
@@ -133,6 +137,8 @@
                 for vm in sorted(self._state.assignment.members)
             ],
             store_calls=self._store_calls(),
+            sent_bytes=self._traffic.sent_bytes,
+            received_bytes=self._traffic.received_bytes,
         )
 
     def _member_status(
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peer_streams.py
@@ -4,6 +4,7 @@
 ready to be written into one send.
 """
 
+import dataclasses
 import logging
 import random
 import socket
@@ -28,6 +29,14 @@
 _logger = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Bytes over all peer connections of this daemon."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
 class Connection:
     """One connection to another daemon.
 
@@ -36,6 +45,7 @@
         hello: What this side says of itself.
         handler: Answers messages from the other side.
         stamps: Stamps sent and received messages.
+        traffic: Counts bytes over all connections.
     """
 
     def __init__(
@@ -45,8 +55,10 @@
         hello: messages.Hello,
         handler: peers_port.Handler,
         stamps: stamp.StampClock,
+        traffic: Traffic,
     ) -> None:
         self._stamps = stamps
+        self._traffic = traffic
         self._sock = sock
         self._hello = hello
         self._handler = handler
@@ -74,6 +86,7 @@
 
     def _read(self) -> None:
         while data := self._sock.recv(RECEIVE_BYTES):
+            self._traffic.received_bytes += len(data)
             for frame in self._decoder.feed(data):
                 self._receive(frame)
 
@@ -124,7 +137,9 @@
                 self._ready.wait()
                 self._ready.clear()
                 pending, self._pending = self._pending, []
-                self._sock.sendall(b"".join(pending))
+                data = b"".join(pending)
+                self._traffic.sent_bytes += len(data)
+                self._sock.sendall(data)
         except OSError:
             self._close()
 
@@ -192,6 +207,7 @@
         stamps: stamp.StampClock,
     ) -> None:
         self._stamps = stamps
+        self.traffic = Traffic()
         self._hello = hello
         self._addresses: dict[str, str] = {}
         self._connections: dict[str, Connection] = {}
@@ -263,6 +279,7 @@
             hello=self._hello,
             handler=self._handle,
             stamps=self._stamps,
+            traffic=self.traffic,
         )
 
     def _handle(self, message: messages.Message) -> messages.Message:
--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -104,6 +104,7 @@
                 lease=self.node.lease,
                 timeline=self.timeline,
                 store_calls=lambda: store.calls,
+                traffic=self.peers.traffic,
             ),
         )
 
