Carry plan and assignment around a ring of all members

Cause: versions travelled only on heartbeats, and witnesses share a region, so nothing joined the regions; members of the smaller region stayed at assignment 6 and plan 0 while the others were at 10 and 1, and planned moves from them never ended. Seen as fleets of 8 that were never ready, and once as idle CPU of 5 to 9% (hand_over walking moves that never ended). Ruled out: lost Release messages (repeated until the state shows the move); lease epochs (all leases were held). Change: each member asks its ring successor once a second.

--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -18,6 +18,7 @@
 from primrosecross.domain import office as office_module
 from primrosecross.domain import operations as operations_module
 from primrosecross.domain import request
+from primrosecross.domain import ring as ring_module
 from primrosecross.domain import router as router_module
 from primrosecross.domain import state as state_module
 from primrosecross.domain import sync as sync_module
@@ -74,6 +75,9 @@
             archive=ports.archive,
             codec=ports.codec,
         )
+        self.ring = ring_module.Ring(
+            vm=vm, state=self.state, sync=self.sync, clock=clock
+        )
         self.office = office_module.Office(
             vm=vm, archive=ports.archive, peers=ports.peers, clock=clock
         )
@@ -177,6 +181,7 @@
             self.membership.run,
             self.membership.watch_others,
             self.executor.hand_over,
+            self.ring.run,
             self._watch_plan,
         ):
             gevent.spawn(self._keep_running, task)
--- a/primrosecross/domain/sync.py
+++ b/primrosecross/domain/sync.py
@@ -58,18 +58,21 @@
         finally:
             self._fetching = False
 
-    def fetch_from(self, vm: str) -> None:
-        """Asks a peer for state newer than ours; logs what goes wrong."""
+    def fetch_from(self, vm: str) -> bool:
+        """Asks a peer for newer state; returns whether it answered."""
         question = messages.FetchState(
             assignment_version=self._state.assignment.version,
             plan_version=self._state.plan.version,
         )
         try:
             answer = self._peers.call(vm, question, timeout_ms=FETCH_TIMEOUT_MS)
-            if isinstance(answer, messages.StateSnapshot):
-                self._accept(answer)
+            if not isinstance(answer, messages.StateSnapshot):
+                return False
+            self._accept(answer)
         except (errors.PeerError, errors.StoreObjectError) as error:
             _logger.warning("no state from %s: %s", vm, error)
+            return False
+        return True
 
     def _accept(self, snapshot: messages.StateSnapshot) -> None:
         if snapshot.plan:
