Declare resend windows, long work and longest waits per service

Cause: at-most-once needs the time within which callers resend, and admission needs to know long work and the longest wait; the plan had no fields for them. All have defaults, so stored plans stay valid.

resend_window_ms, attempts_marked, long_work (paths, body_bytes, after_ms, share), and max_wait_ms of the crest policy.

--- a/primrosecross/domain/plan.py
+++ b/primrosecross/domain/plan.py
@@ -28,14 +28,33 @@
 
     Attributes:
         max_queue: Most requests queued per target.
+        max_wait_ms: Longest time in a queue before a refusal.
     """
 
     max_queue: int
+    max_wait_ms: int = 50
 
 
 Policy = WaitingPolicy | CrestPolicy
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LongWork:
+    """What counts as long work, and its limit.
+
+    Attributes:
+        paths: Regular expressions; requests whose path matches one are long.
+        body_bytes: Requests with a larger body are long.
+        after_ms: Requests like those that ran longer than this are long.
+        share: Largest share of a target's slots that long work may hold.
+    """
+
+    paths: tuple[str, ...] = ()
+    body_bytes: int = 256 * 1024
+    after_ms: int = 500
+    share: float = 0.5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A service as declared by operators.
@@ -49,6 +68,11 @@
         max_body_bytes: Largest request body accepted.
         idempotent_methods: Methods that may run more than once.
         policy: What is put first under load.
+        resend_window_ms: Time after a first attempt within which a caller
+            may send a request again under its Idempotency-Key.
+        attempts_marked: Whether callers mark each resend; if so, a request
+            without a mark is a first attempt.
+        long_work: What counts as long work and how many slots it may hold.
     """
 
     name: str
@@ -59,6 +83,9 @@
     max_body_bytes: int
     idempotent_methods: frozenset[str]
     policy: Policy
+    resend_window_ms: int = 10_000
+    attempts_marked: bool = False
+    long_work: LongWork = LongWork()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/models/plan.py
+++ b/primrosecross/models/plan.py
@@ -1,5 +1,6 @@
 """The plan as operators write it and as the store keeps it."""
 
+import dataclasses
 import functools
 import re
 from typing import Annotated
@@ -43,6 +44,7 @@
 
     kind: Literal["crest"]
     max_queue: int = pydantic.Field(default=32, ge=0, le=10_000)
+    max_wait_ms: int = pydantic.Field(default=50, ge=1, le=60_000)
 
 
 PolicyModel = Annotated[
@@ -51,6 +53,24 @@
 ]
 
 
+class LongWorkModel(pydantic.BaseModel):
+    """What counts as long work, and its limit."""
+
+    model_config = _FORBID
+
+    paths: tuple[str, ...] = ()
+    body_bytes: int = pydantic.Field(default=256 * 1024, ge=0)
+    after_ms: int = pydantic.Field(default=500, ge=1, le=3_600_000)
+    share: float = pydantic.Field(default=0.5, gt=0, le=1)
+
+    @pydantic.field_validator("paths")
+    @classmethod
+    def _compile(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+        for pattern in value:
+            _check_pattern(pattern)
+        return value
+
+
 class ServiceModel(pydantic.BaseModel):
     """A service."""
 
@@ -68,17 +88,24 @@
         {"GET", "HEAD", "OPTIONS", "PUT", "DELETE"}
     )
     policy: PolicyModel
+    resend_window_ms: int = pydantic.Field(default=10_000, ge=0, le=600_000)
+    attempts_marked: bool = False
+    long_work: LongWorkModel = LongWorkModel()
 
     @pydantic.field_validator("key_pattern")
     @classmethod
     def _compiles(cls, value: str) -> str:
-        try:
-            re.compile(value)
-        except re.error as error:
-            raise ValueError(f"not a regular expression: {error}") from error
+        _check_pattern(value)
         return value
 
 
+def _check_pattern(value: str) -> None:
+    try:
+        re.compile(value)
+    except re.error as error:
+        raise ValueError(f"not a regular expression: {error}") from error
+
+
 class PlanModel(pydantic.BaseModel):
     """A plan."""
 
@@ -166,6 +193,9 @@
         max_body_bytes=model.max_body_bytes,
         idempotent_methods=model.idempotent_methods,
         policy=_policy(model.policy),
+        resend_window_ms=model.resend_window_ms,
+        attempts_marked=model.attempts_marked,
+        long_work=plan.LongWork(**model.long_work.model_dump()),
     )
 
 
@@ -181,7 +211,9 @@
 
 @_policy.register
 def _(model: CrestPolicyModel) -> plan.Policy:
-    return plan.CrestPolicy(max_queue=model.max_queue)
+    return plan.CrestPolicy(
+        max_queue=model.max_queue, max_wait_ms=model.max_wait_ms
+    )
 
 
 def _to_model(value: plan.Plan) -> StoredPlanModel:
@@ -195,6 +227,9 @@
             max_body_bytes=s.max_body_bytes,
             idempotent_methods=s.idempotent_methods,
             policy=_policy_model(s.policy),
+            resend_window_ms=s.resend_window_ms,
+            attempts_marked=s.attempts_marked,
+            long_work=LongWorkModel(**dataclasses.asdict(s.long_work)),
         )
         for s in value.services.values()
     )
@@ -220,7 +255,11 @@
 
 @_policy_model.register
 def _(policy: plan.CrestPolicy) -> PolicyModel:
-    return CrestPolicyModel(kind="crest", max_queue=policy.max_queue)
+    return CrestPolicyModel(
+        kind="crest",
+        max_queue=policy.max_queue,
+        max_wait_ms=policy.max_wait_ms,
+    )
 
 
 def render(value: plan.Plan) -> bytes:
