Run identified non-idempotent requests at most once

Cause: the Idempotency-Key was passed to the target and remembered nowhere, so a resend ran again. The owner now remembers identity (service, key, Idempotency-Key), a digest of what was asked, and the outcome, for the service's resend window, in bounded memory. A resend joins the running attempt or gets its outcome; the same key for another request is refused (422). What did not run is forgotten at once.

After a change of owner: an owner that is still a member is asked (AskAnswer) and from then on refuses that request itself; for one that was lost nobody can know, so an attempt that is not vouched for as the first is answered unknown within the window. Unkeyed services choose the owner of an identified non-idempotent request by rendezvous hashing of its identity, so that resends through any daemon meet.

Weighed: asking every entry daemon (620 messages for each new owner, and blind when the entry was the lost owner), notes at a neighbour (replicated state of our own), refusing only marked resends (runs an unmarked one twice). Retries: only what is safe, exponential with jitter, woken by a newer assignment, work-making ones from a token budget of a tenth of the requests. Replies name the request they answer; the router takes no other.

Messages: Forward carries identified and attempt; the three outcomes carry request_id; AskAnswer and AnswerAbsent are new.

tests.test_requests: 20 pass.

--- a/primrosecross/adapters/caller_http.py
+++ b/primrosecross/adapters/caller_http.py
@@ -25,6 +25,8 @@
 OUTCOME_HEADER = "Primrosecross-Outcome"
 TIMEOUT_FIELD = "HTTP_PRIMROSECROSS_TIMEOUT_MS"
 IDEMPOTENCY_FIELD = "HTTP_IDEMPOTENCY_KEY"
+ATTEMPT_FIELD = "HTTP_PRIMROSECROSS_ATTEMPT"
+MAX_IDEMPOTENCY_KEY_CHARS = 255
 DEFAULT_TIMEOUT_MS = 10_000
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 PASSED_FIELDS = ("CONTENT_TYPE", "HTTP_ACCEPT", "HTTP_AUTHORIZATION")
@@ -36,6 +38,7 @@
     outcome.Reason.OVERLOADED: (429, "Too Many Requests"),
     outcome.Reason.DEADLINE: (504, "Gateway Timeout"),
     outcome.Reason.DUPLICATE: (409, "Conflict"),
+    outcome.Reason.MISMATCH: (422, "Unprocessable Content"),
 }
 _UNAVAILABLE = (503, "Service Unavailable")
 _UNKNOWN = (502, "Bad Gateway")
@@ -100,8 +103,9 @@
         default_ms = service.timeout_ms if service else DEFAULT_TIMEOUT_MS
         timeout_ms = _number(environ, TIMEOUT_FIELD, default_ms)
         limit = service.max_body_bytes if service else DEFAULT_MAX_BODY_BYTES
+        request_id = _idempotency_key(environ)
         return request.Request(
-            request_id=environ.get(IDEMPOTENCY_FIELD) or uuid.uuid4().hex,
+            request_id=request_id or uuid.uuid4().hex,
             service=name,
             key=key,
             method=method,
@@ -111,9 +115,21 @@
             idempotent=bool(service and method in service.idempotent_methods),
             deadline_ns=self._clock.now_ns()
             + timeout_ms * lease_module.NS_PER_MS,
+            identified=bool(request_id),
+            attempt=_number(environ, ATTEMPT_FIELD, 0),
         )
 
 
+def _idempotency_key(environ: dict[str, Any]) -> str:
+    key = environ.get(IDEMPOTENCY_FIELD, "")
+    if len(key) > MAX_IDEMPOTENCY_KEY_CHARS:
+        raise errors.RequestError(
+            "the Idempotency-Key is too long",
+            remedy=f"use at most {MAX_IDEMPOTENCY_KEY_CHARS} characters",
+        )
+    return key
+
+
 def _number(environ: dict[str, Any], field: str, default: int) -> int:
     text = environ.get(field)
     if text is None:
--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -4,11 +4,15 @@
 
 import gevent
 
+from primrosecross.domain import attempts as attempts_module
 from primrosecross.domain import errors
+from primrosecross.domain import holders
+from primrosecross.domain import identity
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
 from primrosecross.domain import office as office_module
 from primrosecross.domain import outcome
+from primrosecross.domain import plan
 from primrosecross.domain import request
 from primrosecross.domain import state as state_module
 from primrosecross.ports import clock as clock_port
@@ -27,6 +31,7 @@
         state: Assignment in force here.
         lease: This daemon's lease.
         office: Reaches the coordinator.
+        attempts: Keeps identified requests to one run.
         targets: Targets on this VM.
         clock: Clock that counts time spent suspended.
     """
@@ -38,6 +43,7 @@
         state: state_module.State,
         lease: lease_module.Lease,
         office: office_module.Office,
+        attempts: attempts_module.Attempts,
         targets: target_port.Targets,
         clock: clock_port.Clock,
     ) -> None:
@@ -45,6 +51,7 @@
         self._state = state
         self._lease = lease
         self._office = office
+        self._attempts = attempts
         self._targets = targets
         self._clock = clock
         self._in_flight: collections.Counter[tuple[str, int]] = (
@@ -61,10 +68,49 @@
                 f"no target of {req.service} on {self._vm}",
             )
         service = self._state.plan.services.get(req.service)
-        if service is None or not service.keyed:
-            fence = target_port.Fence(0, 0)
-            return self._targets.run(announcement, req, fence)
-        return self._execute_owned(announcement, req)
+        if service is None:
+            return _not_owner(f"{self._vm} knows no service {req.service}")
+        if req.idempotent or not req.identified:
+            return self._execute_here(service, announcement, req)
+        return self._attempts.run_once(
+            service,
+            req,
+            lambda: self._execute_here(service, announcement, req),
+        )
+
+    def _execute_here(
+        self,
+        service: plan.Service,
+        announcement: target_port.Announcement,
+        req: request.Request,
+    ) -> outcome.Outcome:
+        if service.keyed:
+            return self._execute_owned(announcement, req)
+        if not req.idempotent and req.identified:
+            refusal = self._check_holder(service, req)
+            if refusal is not None:
+                return refusal
+        return self._targets.run(announcement, req, target_port.Fence(0, 0))
+
+    def _check_holder(
+        self, service: plan.Service, req: request.Request
+    ) -> outcome.NotRun | None:
+        """Refuses an identified request that another member must run."""
+        holder = holders.holder_of(
+            self._state.assignment, service, identity.identity_of(req)
+        )
+        if holder is None or holder.vm != self._vm:
+            return _not_owner(f"the request belongs to another than {self._vm}")
+        return self._check_lease()
+
+    def _check_lease(self) -> outcome.NotRun | None:
+        if self._lease.held():
+            return None
+        return outcome.NotRun(
+            outcome.Reason.LEASE_LAPSED,
+            f"the lease of {self._vm} has lapsed",
+            NOT_OWNER_RETRY_MS,
+        )
 
     def _find(self, service: str) -> target_port.Announcement | None:
         for announcement in self.announced.values():
@@ -80,12 +126,9 @@
             return _not_owner(f"{self._vm} does not own the key")
         if shard in self._state.assignment.tables[req.service].moves:
             return _not_owner("the key is being handed over")
-        if not self._lease.held():
-            return outcome.NotRun(
-                outcome.Reason.LEASE_LAPSED,
-                f"the lease of {self._vm} has lapsed",
-                NOT_OWNER_RETRY_MS,
-            )
+        refusal = self._check_lease()
+        if refusal is not None:
+            return refusal
         fence = target_port.Fence(grant.generation, self._lease.expires_ns())
         self._in_flight[req.service, shard] += 1
         try:
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -175,6 +175,11 @@
     """Hands a request to the owner; answered by one of the three outcomes.
 
     Attributes:
+        idempotent: Whether running it twice is harmless.
+        identified: Whether request_id is the caller's own, so that a resend
+            bears it again.
+        attempt: 1 if the caller or sender vouches that no earlier attempt
+            was made, more if one was, 0 if neither is known.
         generation: Grant under which the sender believes the receiver owns
             the key; 0 for services without keys.
         timeout_ms: Time left until the caller's deadline.
@@ -188,14 +193,21 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     idempotent: bool
+    identified: bool
+    attempt: int
     generation: int
     timeout_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardAnswered:
-    """The target's whole answer."""
+    """The target's whole answer.
 
+    Attributes:
+        request_id: Request that it answers.
+    """
+
+    request_id: str
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
@@ -205,6 +217,7 @@
 class ForwardNotRun:
     """The request was refused and did not run."""
 
+    request_id: str
     reason: str
     detail: str
     retry_after_ms: int
@@ -214,10 +227,39 @@
 class ForwardUnknown:
     """The request may have run."""
 
+    request_id: str
     reason: str
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskAnswer:
+    """Asks an earlier owner what became of a request.
+
+    Answered by one of the three outcomes, or by AnswerAbsent; the receiver
+    will not run the request after that.
+
+    Attributes:
+        fingerprint: What the request asks for; see identity.fingerprint.
+        asked: VMs that need not be asked again.
+        timeout_ms: Longest time to wait for an attempt that is running.
+    """
+
+    request_id: str
+    service: str
+    key: str
+    fingerprint: str
+    asked: tuple[str, ...]
+    timeout_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerAbsent:
+    """The request ran neither at the sender nor at the owners before it."""
+
+    request_id: str
+
+
 Message = (
     Hello
     | Failure
@@ -239,4 +281,6 @@
     | ForwardAnswered
     | ForwardNotRun
     | ForwardUnknown
+    | AskAnswer
+    | AnswerAbsent
 )
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -7,16 +7,20 @@
 
 import gevent
 
+from primrosecross.domain import answers as answers_module
+from primrosecross.domain import attempts as attempts_module
 from primrosecross.domain import coordinator as coordinator_module
 from primrosecross.domain import election as election_module
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import executor as executor_module
+from primrosecross.domain import holders as holders_module
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import membership as membership_module
 from primrosecross.domain import messages
 from primrosecross.domain import office as office_module
 from primrosecross.domain import operations as operations_module
+from primrosecross.domain import replies
 from primrosecross.domain import request
 from primrosecross.domain import router as router_module
 from primrosecross.domain import state as state_module
@@ -109,11 +113,22 @@
             timeline=timeline,
         )
         self.office.local = self.coordinator.handle
+        self.attempts = attempts_module.Attempts(
+            vm=vm,
+            state=self.state,
+            answers=answers_module.Answers(clock=clock),
+            holders=holders_module.Holders(
+                vm=vm, state=self.state, clock=clock
+            ),
+            peers=ports.peers,
+            clock=clock,
+        )
         self.executor = executor_module.Executor(
             vm=vm,
             state=self.state,
             lease=self.lease,
             office=self.office,
+            attempts=self.attempts,
             targets=ports.targets,
             clock=clock,
         )
@@ -135,6 +150,7 @@
         self._answer.register(messages.Refuse, self.membership.answer_refuse)
         self._answer.register(messages.FetchState, self.sync.snapshot)
         self._answer.register(messages.Forward, self._answer_forward)
+        self._answer.register(messages.AskAnswer, self.attempts.answer_ask)
 
     def handle(self, message: messages.Message) -> messages.Message:
         """Answers a message from another daemon."""
@@ -158,8 +174,10 @@
             body=forward.body,
             idempotent=forward.idempotent,
             deadline_ns=deadline_ns,
+            identified=forward.identified,
+            attempt=forward.attempt,
         )
-        return router_module.answer_of(self.executor.execute(req))
+        return replies.reply_of(self.executor.execute(req), req.request_id)
 
     def announced(self, announcement: target_port.Announcement) -> None:
         """Takes in what a target beside this daemon says of itself."""
--- a/primrosecross/domain/outcome.py
+++ b/primrosecross/domain/outcome.py
@@ -21,7 +21,11 @@
     TARGET_REFUSED = "target-refused"
     QUARANTINED = "quarantined"
     DUPLICATE = "duplicate"
+    MISMATCH = "idempotency-key-reused"
     ANSWER_LOST = "answer-lost"
+    ANSWER_DROPPED = "answer-dropped"
+    EARLIER_ATTEMPT = "earlier-attempt"
+    TARGET_CRASHED = "target-crashed"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/primrosecross/domain/replies.py
@@ -0,0 +1,83 @@
+"""Outcomes as messages between daemons, and back."""
+
+import functools
+
+from primrosecross.domain import messages
+from primrosecross.domain import outcome
+
+
+@functools.singledispatch
+def outcome_of(reply: messages.Message, request_id: str) -> outcome.Outcome:
+    """Returns the outcome that a reply carries.
+
+    A reply that is not for the request, or is none of the three outcomes,
+    leaves it unknown.
+    """
+    return outcome.Unknown(
+        outcome.Reason.ANSWER_LOST,
+        f"the owner replied with {type(reply).__name__}",
+    )
+
+
+@outcome_of.register
+def _(reply: messages.ForwardAnswered, request_id: str) -> outcome.Outcome:
+    if reply.request_id != request_id:
+        return _for_another()
+    return outcome.Answered(reply.status, reply.headers, reply.body)
+
+
+@outcome_of.register
+def _(reply: messages.ForwardNotRun, request_id: str) -> outcome.Outcome:
+    if reply.request_id != request_id:
+        return _for_another()
+    return outcome.NotRun(
+        outcome.Reason(reply.reason), reply.detail, reply.retry_after_ms
+    )
+
+
+@outcome_of.register
+def _(reply: messages.ForwardUnknown, request_id: str) -> outcome.Outcome:
+    if reply.request_id != request_id:
+        return _for_another()
+    return outcome.Unknown(outcome.Reason(reply.reason), reply.detail)
+
+
+def _for_another() -> outcome.Unknown:
+    return outcome.Unknown(
+        outcome.Reason.ANSWER_LOST, "the reply was for another request"
+    )
+
+
+@functools.singledispatch
+def reply_of(result: outcome.Outcome, request_id: str) -> messages.Message:
+    """Returns the message that carries an outcome back to the sender."""
+    raise TypeError(f"no message for {type(result).__name__}")
+
+
+@reply_of.register
+def _(result: outcome.Answered, request_id: str) -> messages.Message:
+    return messages.ForwardAnswered(
+        request_id=request_id,
+        status=result.status,
+        headers=result.headers,
+        body=result.body,
+    )
+
+
+@reply_of.register
+def _(result: outcome.NotRun, request_id: str) -> messages.Message:
+    return messages.ForwardNotRun(
+        request_id=request_id,
+        reason=result.reason.value,
+        detail=result.detail,
+        retry_after_ms=result.retry_after_ms,
+    )
+
+
+@reply_of.register
+def _(result: outcome.Unknown, request_id: str) -> messages.Message:
+    return messages.ForwardUnknown(
+        request_id=request_id,
+        reason=result.reason.value,
+        detail=result.detail,
+    )
--- a/primrosecross/domain/request.py
+++ b/primrosecross/domain/request.py
@@ -19,6 +19,9 @@
         idempotent: Whether running it twice is harmless.
         deadline_ns: Time on the local boot clock after which an answer is
             useless to the caller.
+        identified: Whether request_id is the caller's own.
+        attempt: 1 if no earlier attempt was made, more if one was, 0 if
+            neither is known.
     """
 
     request_id: str
@@ -30,3 +33,5 @@
     body: bytes
     idempotent: bool
     deadline_ns: int
+    identified: bool = False
+    attempt: int = 0
--- /dev/null
+++ b/primrosecross/domain/resends.py
@@ -0,0 +1,49 @@
+"""Recognises at the entry that a caller sends a request again."""
+
+import collections
+import dataclasses
+
+from primrosecross.domain import identity as identity_module
+from primrosecross.domain import lease as lease_module
+from primrosecross.domain import outcome
+from primrosecross.domain import request
+from primrosecross.ports import clock as clock_port
+
+MAX_ENTRIES = 50_000
+LATER_ATTEMPT = 2
+
+
+class Resends:
+    """Identities that were sent from here and may have run.
+
+    Args:
+        clock: Clock that windows refer to.
+        max_entries: Most identities remembered; the oldest are dropped.
+    """
+
+    def __init__(
+        self, *, clock: clock_port.Clock, max_entries: int = MAX_ENTRIES
+    ) -> None:
+        self._clock = clock
+        self._max_entries = max_entries
+        self._sent: collections.OrderedDict[identity_module.Identity, int] = (
+            collections.OrderedDict()
+        )
+
+    def mark(self, req: request.Request, window_ms: int) -> request.Request:
+        """Returns the request, marked if it was sent from here before."""
+        identity = identity_module.identity_of(req)
+        now_ns = self._clock.now_ns()
+        known = self._sent.get(identity, 0) > now_ns
+        self._sent[identity] = now_ns + window_ms * lease_module.NS_PER_MS
+        self._sent.move_to_end(identity)
+        while len(self._sent) > self._max_entries:
+            self._sent.popitem(last=False)
+        if not known:
+            return req
+        return dataclasses.replace(req, attempt=max(req.attempt, LATER_ATTEMPT))
+
+    def settle(self, req: request.Request, result: outcome.Outcome) -> None:
+        """Forgets a first attempt that did not run."""
+        if isinstance(result, outcome.NotRun) and req.attempt < LATER_ATTEMPT:
+            self._sent.pop(identity_module.identity_of(req), None)
--- a/primrosecross/domain/router.py
+++ b/primrosecross/domain/router.py
@@ -1,30 +1,37 @@
 """Brings a request to the one owner of its key and its answer back."""
 
-import functools
+import dataclasses
+import itertools
 import random
 import re
 
+from gevent import event as gevent_event
+
 from primrosecross.domain import errors
 from primrosecross.domain import executor as executor_module
+from primrosecross.domain import holders
+from primrosecross.domain import identity
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
+from primrosecross.domain import replies
 from primrosecross.domain import request
+from primrosecross.domain import resends
+from primrosecross.domain import retry
 from primrosecross.domain import state as state_module
 from primrosecross.domain import sync as sync_module
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 
-RETRY_PAUSE_MS = 50
-RETRYABLE = frozenset(
-    {
-        outcome.Reason.NO_OWNER,
-        outcome.Reason.NOT_OWNER,
-        outcome.Reason.LEASE_LAPSED,
-        outcome.Reason.OWNER_UNREACHABLE,
-    }
-)
+MIN_ATTEMPT_MS = 5
+NO_OWNER_RETRY_MS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Choice:
+    vm: str
+    generation: int
 
 
 class Router:
@@ -55,6 +62,10 @@
         self._executor = executor
         self._peers = peers
         self._clock = clock
+        self._budget = retry.RetryBudget()
+        self._resends = resends.Resends(clock=clock)
+        self._changed = gevent_event.Event()
+        state.subscribe(self._changed.set)
 
     def route(self, req: request.Request) -> outcome.Outcome:
         """Returns the outcome of a request, at the latest at its deadline."""
@@ -62,49 +73,71 @@
         refusal = _check(service, req)
         if refusal is not None:
             return refusal
-        while True:
-            result = self._attempt(service, req)
-            if not isinstance(result, outcome.NotRun):
+        self._budget.deposit()
+        if req.idempotent or not req.identified:
+            return self._route(service, req)
+        req = self._resends.mark(req, service.resend_window_ms)
+        result = self._route(service, req)
+        self._resends.settle(req, result)
+        return result
+
+    def _route(
+        self, service: plan.Service, req: request.Request
+    ) -> outcome.Outcome:
+        for attempt in itertools.count():
+            choice = self._choose(service, req)
+            result = self._attempt(choice, req)
+            if not retry.is_safe(result, req):
                 return result
-            if result.reason not in RETRYABLE:
+            pause_ms = retry.pause_ms(attempt)
+            if self._left_ms(req) <= pause_ms + MIN_ATTEMPT_MS:
                 return result
-            if self._left_ms(req) <= RETRY_PAUSE_MS:
+            if retry.costs_token(result) and not self._budget.withdraw():
                 return result
-            self._clock.sleep(RETRY_PAUSE_MS * random.uniform(0.5, 1.0))
+            self._wait(pause_ms)
+        raise AssertionError("unreachable")
+
+    def _wait(self, pause_ms: float) -> None:
+        """Waits for a newer assignment, at most for the pause."""
+        self._changed.clear()
+        self._changed.wait(pause_ms / 1000)
 
     def _left_ms(self, req: request.Request) -> int:
         left_ns = req.deadline_ns - self._clock.now_ns()
         return left_ns // lease_module.NS_PER_MS
 
     def _attempt(
-        self, service: plan.Service, req: request.Request
+        self, choice: _Choice, req: request.Request
     ) -> outcome.Outcome:
-        vm, generation = self._choose(service, req)
-        if not vm:
+        if not choice.vm:
             return outcome.NotRun(
                 outcome.Reason.NO_OWNER,
                 f"no owner of {req.service} is known",
-                RETRY_PAUSE_MS,
+                NO_OWNER_RETRY_MS,
             )
-        if vm == self._vm:
+        if choice.vm == self._vm:
             return self._executor.execute(req)
-        return self._forward(vm, generation, req)
+        return self._forward(choice, req)
 
-    def _choose(
-        self, service: plan.Service, req: request.Request
-    ) -> tuple[str, int]:
+    def _choose(self, service: plan.Service, req: request.Request) -> _Choice:
+        version = self._state.assignment
         if service.keyed:
-            _, grant = self._state.assignment.grant_for(req.service, req.key)
-            return grant.vm, grant.generation
+            _, grant = version.grant_for(req.service, req.key)
+            return _Choice(grant.vm, grant.generation)
+        if req.identified and not req.idempotent:
+            holder = holders.holder_of(
+                version, service, identity.identity_of(req)
+            )
+            return _Choice(holder.vm if holder else "", 0)
         vms = [
             m.vm
-            for m in self._state.assignment.members.values()
+            for m in version.members.values()
             if m.offers_service(req.service)
         ]
-        return (random.choice(vms), 0) if vms else ("", 0)
+        return _Choice(random.choice(vms) if vms else "", 0)
 
     def _forward(
-        self, vm: str, generation: int, req: request.Request
+        self, choice: _Choice, req: request.Request
     ) -> outcome.Outcome:
         timeout_ms = self._left_ms(req)
         if timeout_ms <= 0:
@@ -120,18 +153,20 @@
             headers=req.headers,
             body=req.body,
             idempotent=req.idempotent,
-            generation=generation,
+            identified=req.identified,
+            attempt=req.attempt,
+            generation=choice.generation,
             timeout_ms=timeout_ms,
         )
         try:
-            answer = self._peers.call(vm, message, timeout_ms=timeout_ms)
+            reply = self._peers.call(choice.vm, message, timeout_ms=timeout_ms)
         except errors.PeerUnsentError as error:
             return outcome.NotRun(
-                outcome.Reason.OWNER_UNREACHABLE, str(error), RETRY_PAUSE_MS
+                outcome.Reason.OWNER_UNREACHABLE, str(error), NO_OWNER_RETRY_MS
             )
         except errors.PeerLostError as error:
             return outcome.Unknown(outcome.Reason.ANSWER_LOST, str(error))
-        return _outcome_of(answer)
+        return replies.outcome_of(reply, req.request_id)
 
 
 def _check(
@@ -153,57 +188,3 @@
             f"the body exceeds {service.max_body_bytes} bytes",
         )
     return None
-
-
-@functools.singledispatch
-def _outcome_of(answer: messages.Message) -> outcome.Outcome:
-    return outcome.Unknown(
-        outcome.Reason.ANSWER_LOST,
-        f"the owner answered with {type(answer).__name__}",
-    )
-
-
-@_outcome_of.register
-def _(answer: messages.ForwardAnswered) -> outcome.Outcome:
-    return outcome.Answered(answer.status, answer.headers, answer.body)
-
-
-@_outcome_of.register
-def _(answer: messages.ForwardNotRun) -> outcome.Outcome:
-    return outcome.NotRun(
-        outcome.Reason(answer.reason), answer.detail, answer.retry_after_ms
-    )
-
-
-@_outcome_of.register
-def _(answer: messages.ForwardUnknown) -> outcome.Outcome:
-    return outcome.Unknown(outcome.Reason(answer.reason), answer.detail)
-
-
-@functools.singledispatch
-def answer_of(result: outcome.Outcome) -> messages.Message:
-    """Returns the message that carries an outcome back to the sender."""
-    raise TypeError(f"no message for {type(result).__name__}")
-
-
-@answer_of.register
-def _(result: outcome.Answered) -> messages.Message:
-    return messages.ForwardAnswered(
-        status=result.status, headers=result.headers, body=result.body
-    )
-
-
-@answer_of.register
-def _(result: outcome.NotRun) -> messages.Message:
-    return messages.ForwardNotRun(
-        reason=result.reason.value,
-        detail=result.detail,
-        retry_after_ms=result.retry_after_ms,
-    )
-
-
-@answer_of.register
-def _(result: outcome.Unknown) -> messages.Message:
-    return messages.ForwardUnknown(
-        reason=result.reason.value, detail=result.detail
-    )
--- /dev/null
+++ b/tests/request_fakes.py
@@ -0,0 +1,241 @@
+"""A cluster's request path in one process, over fake peers and targets."""
+
+import collections
+import dataclasses
+import functools
+from collections.abc import Callable
+
+from primrosecross.domain import answers
+from primrosecross.domain import assignment
+from primrosecross.domain import attempts
+from primrosecross.domain import errors
+from primrosecross.domain import events
+from primrosecross.domain import executor
+from primrosecross.domain import holders
+from primrosecross.domain import lease
+from primrosecross.domain import messages
+from primrosecross.domain import outcome
+from primrosecross.domain import plan
+from primrosecross.domain import replies
+from primrosecross.domain import request
+from primrosecross.domain import router
+from primrosecross.domain import stamp
+from primrosecross.domain import state
+from primrosecross.ports import target
+from tests import fakes
+
+WITNESSES = ("w",)
+
+
+def service(name: str = "rezervace", **fields: object) -> plan.Service:
+    """Returns a keyed service that declares little."""
+    declared = {
+        "keyed": True,
+        "key_pattern": ".*",
+        "partitions": 1,
+        "timeout_ms": 1000,
+        "max_body_bytes": 1 << 20,
+        "idempotent_methods": frozenset({"GET"}),
+        "policy": plan.WaitingPolicy(max_wait_ms=50),
+    }
+    return plan.Service(name=name, **(declared | fields))
+
+
+class FakeTargets:
+    """Targets that record what ran; an action decides each outcome."""
+
+    def __init__(self) -> None:
+        self.ran: list[str] = []
+        self.action: Callable[[request.Request], outcome.Outcome] = _answer
+        self.listening = True
+
+    def run(
+        self,
+        announcement: target.Announcement,
+        req: request.Request,
+        fence: target.Fence,
+    ) -> outcome.Outcome:
+        """Runs a request."""
+        self.ran.append(req.request_id)
+        return self.action(req)
+
+
+def _answer(req: request.Request) -> outcome.Outcome:
+    return outcome.Answered(200, (), req.request_id.encode())
+
+
+class FakePeers:
+    """Calls handlers directly; faults are set per VM."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, Callable] = {}
+        self.lost: set[str] = set()
+        self.lose_replies: set[str] = set()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.change_reply: Callable = lambda reply: reply
+
+    def call(
+        self, vm: str, message: messages.Message, *, timeout_ms: int
+    ) -> messages.Message:
+        """Hands a message to a VM."""
+        self.calls[type(message).__name__] += 1
+        if vm in self.lost or vm not in self.handlers:
+            raise errors.PeerUnsentError("no connection", remedy="wait")
+        reply = self.handlers[vm](message)
+        if vm in self.lose_replies:
+            raise errors.PeerLostError("no reply", remedy="wait")
+        return self.change_reply(reply)
+
+    def learn_address(self, vm: str, address: str) -> None:
+        """Does nothing."""
+
+
+@dataclasses.dataclass(slots=True)
+class Vm:
+    """The request path of one daemon."""
+
+    name: str
+    state: state.State
+    targets: FakeTargets
+    executor: executor.Executor
+    router: router.Router
+    lease: lease.Lease
+
+
+class Cluster:
+    """Daemons that know one assignment, changed with give()."""
+
+    def __init__(self, *names: str, declared: plan.Service) -> None:
+        self.clock = fakes.ManualClock()
+        self.peers = FakePeers()
+        self.declared = declared
+        self.assignment = assignment.Assignment(version=1)
+        self.vms = {name: self._make(name) for name in names}
+        for name in names:
+            self.assignment.members[name] = self._member(name, 1)
+        self.give(names[0])
+
+    def _member(self, name: str, epoch: int) -> assignment.Member:
+        return assignment.Member(
+            vm=name,
+            place="p",
+            region="r",
+            peer_address="",
+            incarnation=f"{name}-{epoch}",
+            epoch=epoch,
+            witnesses=WITNESSES,
+            offers=(assignment.Offer(self.declared.name, 4, True),),
+        )
+
+    def _make(self, name: str) -> Vm:
+        timeline = events.Timeline(
+            vm=name,
+            clock=self.clock,
+            stamps=stamp.StampClock(clock=self.clock),
+        )
+        present = state.State(vm=name, timeline=timeline)
+        present.offer_plan(
+            plan.Plan(1, "", {}, {self.declared.name: self.declared})
+        )
+        held = lease.Lease(
+            clock=self.clock, timing=lease.LeaseTiming(duration_ms=10**9)
+        )
+        held.start(epoch=1, witnesses=WITNESSES, proven_ns=self.clock.now_ns())
+        held.record_vote(
+            witness="w",
+            incarnation="1",
+            epoch=1,
+            sent_ns=self.clock.now_ns(),
+        )
+        targets = FakeTargets()
+        tried = attempts.Attempts(
+            vm=name,
+            state=present,
+            answers=answers.Answers(clock=self.clock),
+            holders=holders.Holders(vm=name, state=present, clock=self.clock),
+            peers=self.peers,
+            clock=self.clock,
+        )
+        runner = executor.Executor(
+            vm=name,
+            state=present,
+            lease=held,
+            office=None,
+            attempts=tried,
+            targets=targets,
+            clock=self.clock,
+        )
+        runner.announced["t"] = target.Announcement(
+            self.declared.name, "t", 4, True
+        )
+        entry = router.Router(
+            vm=name,
+            state=present,
+            sync=None,
+            executor=runner,
+            peers=self.peers,
+            clock=self.clock,
+        )
+        handle = functools.singledispatch(_unexpected)
+        handle.register(
+            messages.Forward, functools.partial(self._execute, runner)
+        )
+        handle.register(messages.AskAnswer, tried.answer_ask)
+        self.peers.handlers[name] = handle
+        return Vm(name, present, targets, runner, entry, held)
+
+    def _execute(
+        self, runner: executor.Executor, forward: messages.Forward
+    ) -> messages.Message:
+        fields = {
+            f.name: getattr(forward, f.name)
+            for f in dataclasses.fields(forward)
+            if f.name not in ("generation", "timeout_ms")
+        }
+        left_ns = forward.timeout_ms * lease.NS_PER_MS
+        req = request.Request(
+            **fields, deadline_ns=self.clock.now_ns() + left_ns
+        )
+        return replies.reply_of(runner.execute(req), req.request_id)
+
+    def give(self, name: str, *, lost: str = "") -> None:
+        """Gives all keys to a VM, after another was lost."""
+        draft = self.assignment.copy()
+        draft.version += 1
+        if lost:
+            draft.members.pop(lost, None)
+            self.peers.lost.add(lost)
+        table = draft.tables.get(self.declared.name)
+        if table is None:
+            table = assignment.OwnerTable.empty(self.declared.name, 1)
+            draft.tables[self.declared.name] = table
+        table.set_owner(0, name, draft.version)
+        self.assignment = draft
+        for vm in self.vms.values():
+            if vm.name not in self.peers.lost:
+                vm.state.offer_assignment(draft)
+
+    def request(self, **fields: object) -> request.Request:
+        """Returns a booking with an Idempotency-Key."""
+        values = {
+            "request_id": "booking",
+            "service": self.declared.name,
+            "key": "k",
+            "method": "POST",
+            "path": "/book",
+            "headers": (),
+            "body": b"",
+            "idempotent": False,
+            "identified": True,
+            "attempt": 0,
+            "deadline_ns": self.clock.now_ns() + 10**9,
+        }
+        return request.Request(**(values | fields))
+
+    def runs(self, request_id: str = "booking") -> int:
+        """Returns how often a request ran on all targets."""
+        return sum(vm.targets.ran.count(request_id) for vm in self.vms.values())
+
+
+def _unexpected(message: messages.Message) -> messages.Message:
+    raise TypeError(type(message).__name__)
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,264 @@
+"""At most once, and truthful outcomes, over fake peers and targets."""
+
+import dataclasses
+import random
+import unittest
+
+import gevent
+from gevent import event
+
+from primrosecross.domain import answers
+from primrosecross.domain import identity
+from primrosecross.domain import messages
+from primrosecross.domain import outcome
+from primrosecross.domain import retry
+from tests import fakes
+from tests import request_fakes
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """Resends of one booking."""
+
+    def setUp(self) -> None:
+        self.cluster = request_fakes.Cluster(
+            "a", "b", "c", declared=request_fakes.service()
+        )
+        self.a, self.b, self.c = self.cluster.vms.values()
+
+    def test_resend_gets_the_same_answer(self):
+        first = self.c.router.route(self.cluster.request())
+        second = self.b.router.route(self.cluster.request(attempt=2))
+        self.assertIsInstance(first, outcome.Answered)
+        self.assertEqual(first, second)
+        self.assertEqual(self.cluster.runs(), 1)
+
+    def test_resend_joins_the_running_attempt(self):
+        going = event.Event()
+        self.a.targets.action = lambda req: (
+            going.wait(),
+            outcome.Answered(200, (), b"done"),
+        )[1]
+        tasks = [
+            gevent.spawn(vm.router.route, self.cluster.request())
+            for vm in (self.b, self.c, self.a)
+        ]
+        gevent.sleep(0)
+        going.set()
+        gevent.joinall(tasks)
+        self.assertEqual({t.value.body for t in tasks}, {b"done"})
+        self.assertEqual(self.cluster.runs(), 1)
+
+    def test_lost_reply_is_unknown_and_not_retried(self):
+        self.cluster.peers.lose_replies.add("a")
+        result = self.b.router.route(self.cluster.request())
+        self.assertIsInstance(result, outcome.Unknown)
+        self.assertEqual(self.cluster.runs(), 1)
+
+    def test_lost_reply_of_an_idempotent_request_is_retried(self):
+        self.cluster.peers.lose_replies.add("a")
+        req = self.cluster.request(idempotent=True, method="GET")
+        self.a.targets.action = lambda req: (
+            self.cluster.peers.lose_replies.clear()
+            if self.cluster.runs() == 2
+            else None,
+            outcome.Answered(200, (), b""),
+        )[1]
+        self.assertIsInstance(self.b.router.route(req), outcome.Answered)
+        self.assertEqual(self.cluster.runs(), 2)
+
+    def test_same_key_for_another_request_is_refused(self):
+        self.b.router.route(self.cluster.request())
+        result = self.b.router.route(self.cluster.request(body=b"other"))
+        self.assertEqual(result.reason, outcome.Reason.MISMATCH)
+        self.assertEqual(self.cluster.runs(), 1)
+
+    def test_not_run_is_forgotten(self):
+        refused = outcome.NotRun(outcome.Reason.OVERLOADED, "")
+        self.a.targets.action = lambda req: refused
+        self.assertEqual(self.b.router.route(self.cluster.request()), refused)
+        self.a.targets.action = lambda req: outcome.Answered(200, (), b"")
+        result = self.b.router.route(self.cluster.request(attempt=2))
+        self.assertIsInstance(result, outcome.Answered)
+
+    def test_unknown_stays_unknown_for_resends(self):
+        lost = outcome.Unknown(outcome.Reason.ANSWER_LOST, "")
+        self.a.targets.action = lambda req: lost
+        self.b.router.route(self.cluster.request())
+        self.a.targets.action = lambda req: outcome.Answered(200, (), b"")
+        result = self.c.router.route(self.cluster.request(attempt=2))
+        self.assertEqual(result, lost)
+        self.assertEqual(self.cluster.runs(), 1)
+
+
+class OwnerChangeTest(unittest.TestCase):
+    """Resends that meet another owner than the first attempt."""
+
+    def setUp(self) -> None:
+        self.cluster = request_fakes.Cluster(
+            "a", "b", "c", declared=request_fakes.service()
+        )
+        self.a, self.b, self.c = self.cluster.vms.values()
+
+    def test_owner_lost_makes_a_resend_unknown(self):
+        self.c.router.route(self.cluster.request())
+        self.cluster.give("b", lost="a")
+        for attempt in (0, 2):
+            req = self.cluster.request(attempt=attempt)
+            result = self.c.router.route(req)
+            self.assertEqual(result.reason, outcome.Reason.EARLIER_ATTEMPT)
+        self.assertEqual(self.cluster.runs(), 1)
+
+    def test_entry_marks_what_it_sent_itself(self):
+        self.cluster.peers.lose_replies.add("a")
+        self.c.router.route(self.cluster.request(attempt=1))
+        self.cluster.give("b", lost="a")
+        result = self.c.router.route(self.cluster.request(attempt=1))
+        self.assertEqual(result.reason, outcome.Reason.EARLIER_ATTEMPT)
+        self.assertEqual(self.cluster.runs(), 1)
+
+    def test_first_attempt_runs_at_once_after_a_loss(self):
+        self.cluster.give("b", lost="a")
+        result = self.c.router.route(self.cluster.request(attempt=1))
+        self.assertIsInstance(result, outcome.Answered)
+
+    def test_unmarked_request_runs_after_the_window(self):
+        self.cluster.give("b", lost="a")
+        self.cluster.clock.advance(self.cluster.declared.resend_window_ms + 1)
+        result = self.c.router.route(self.cluster.request())
+        self.assertIsInstance(result, outcome.Answered)
+
+    def test_owner_that_moved_the_key_is_asked(self):
+        first = self.c.router.route(self.cluster.request())
+        self.cluster.give("b")
+        self.cluster.give("c")
+        second = self.c.router.route(self.cluster.request(attempt=2))
+        self.assertEqual(first, second)
+        fresh = self.cluster.request(request_id="new")
+        self.assertIsInstance(self.b.router.route(fresh), outcome.Answered)
+        self.assertEqual(self.cluster.runs(), 1)
+
+    def test_owner_that_was_asked_runs_it_no_more(self):
+        self.cluster.give("b")
+        self.b.router.route(self.cluster.request())
+        self.cluster.peers.handlers["a"](
+            messages.AskAnswer(
+                request_id="late",
+                service="rezervace",
+                key="k",
+                fingerprint=identity.fingerprint(self.cluster.request()),
+                asked=("b",),
+                timeout_ms=10,
+            )
+        )
+        self.a.state.assignment = self.cluster.assignment.copy()
+        self.a.state.assignment.tables["rezervace"].set_owner(0, "a", 2)
+        result = self.a.executor.execute(
+            self.cluster.request(request_id="late", attempt=1)
+        )
+        self.assertEqual(result.reason, outcome.Reason.NOT_OWNER)
+
+
+class UnkeyedTest(unittest.TestCase):
+    """Payments of a service without keys."""
+
+    def test_resends_through_any_daemon_meet(self):
+        cluster = request_fakes.Cluster(
+            "a", "b", "c", declared=request_fakes.service(keyed=False)
+        )
+        for number in range(20):
+            req = cluster.request(request_id=str(number), key="")
+            for vm in cluster.vms.values():
+                vm.router.route(req)
+            self.assertEqual(cluster.runs(str(number)), 1)
+
+
+class RepliesTest(unittest.TestCase):
+    """Replies that are late, doubled or swapped."""
+
+    def test_no_request_gets_another_ones_answer(self):
+        cluster = request_fakes.Cluster(
+            "a", "b", declared=request_fakes.service()
+        )
+        entry = cluster.vms["b"].router
+        rng = random.Random(7)
+        seen = []
+
+        def shuffle(reply: messages.Message) -> messages.Message:
+            seen.append(reply)
+            return rng.choice(seen[-3:])
+
+        cluster.peers.change_reply = shuffle
+        wrong = 0
+        for number in range(300):
+            req = cluster.request(request_id=f"r{number}")
+            result = entry.route(req)
+            if isinstance(result, outcome.Answered):
+                self.assertEqual(result.body, req.request_id.encode())
+            wrong += isinstance(result, outcome.Unknown)
+            self.assertLessEqual(cluster.runs(req.request_id), 1)
+        self.assertGreater(wrong, 100)
+
+
+class AnswersTest(unittest.TestCase):
+    """Bounds of the memory."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.ManualClock()
+        self.answers = answers.Answers(
+            clock=self.clock, max_entries=3, max_body_bytes=10
+        )
+
+    def _run(self, request_id: str, body: bytes = b"1234"):
+        return self.answers.run_once(
+            identity.Identity("s", "k", request_id),
+            "f",
+            window_ms=100,
+            deadline_ns=0,
+            run=lambda: outcome.Answered(200, (), body),
+        )
+
+    def test_oldest_body_is_dropped_not_its_identity(self):
+        for request_id in "abc":
+            self._run(request_id)
+        self.assertEqual(self._run("a").reason, outcome.Reason.ANSWER_DROPPED)
+        self.assertEqual(self._run("c").body, b"1234")
+
+    def test_full_memory_refuses_until_the_window_passes(self):
+        for request_id in "abc":
+            self._run(request_id)
+        self.assertEqual(self._run("d").reason, outcome.Reason.OVERLOADED)
+        self.clock.advance(101)
+        self.assertIsInstance(self._run("d"), outcome.Answered)
+        self.assertEqual(len(self.answers), 1)
+
+    def test_failure_in_the_router_is_remembered_as_unknown(self):
+        one = identity.Identity("s", "k", "x")
+        with self.assertRaises(ZeroDivisionError):
+            self.answers.run_once(
+                one, "f", window_ms=100, deadline_ns=0, run=lambda: 1 // 0
+            )
+        self.assertIsInstance(self._run("x"), outcome.Unknown)
+
+
+class RetryTest(unittest.TestCase):
+    """What is sent again, and how often."""
+
+    def test_budget_limits_retries_to_a_share(self):
+        budget = retry.RetryBudget(share=0.1, reserve=10, tokens=0)
+        granted = 0
+        for _ in range(1000):
+            budget.deposit()
+            granted += budget.withdraw()
+        self.assertLessEqual(granted, 101)
+        self.assertGreaterEqual(granted, 95)
+
+    def test_unsafe_outcomes_are_not_retried(self):
+        cluster = request_fakes.Cluster("a", declared=request_fakes.service())
+        booking = cluster.request()
+        reading = dataclasses.replace(booking, idempotent=True)
+        lost = outcome.Unknown(outcome.Reason.ANSWER_LOST, "")
+        self.assertFalse(retry.is_safe(lost, booking))
+        self.assertTrue(retry.is_safe(lost, reading))
+        for reason in (outcome.Reason.OVERLOADED, outcome.Reason.QUARANTINED):
+            refused = outcome.NotRun(reason, "")
+            self.assertFalse(retry.is_safe(refused, reading))
