Give operators the whole time line, plan history, metrics and access

Cause: each daemon showed its own events only; a replaced plan was lost; there were no metrics; anyone who reached the operator port could change the plan. Change: any daemon reads all members' events, merged by hybrid logical stamps that now also travel through the store's objects; the last 8 plans are kept in objects beside the plan, written before the plan that replaces them; members are asked for lease and versions; hdrhistogram latencies and counters as Prometheus text; token roles and TLS with files that are read again; logs bounded for each kind of message. Ruled out: history inside the plan object, since each daemon gets that object at each change.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -139,12 +139,9 @@
         )
 
     def _show_events(self, victim: str) -> None:
-        entries = []
-        for vm in self._cluster.vms:
-            if vm != victim:
-                request = operator_pb2.ListEventsRequest()
-                entries += self._stub(vm).ListEvents(request).events
-        entries.sort(key=lambda entry: entry.stamp)
+        other = next(vm for vm in self._cluster.vms if vm != victim)
+        request = operator_pb2.ListEventsRequest()
+        entries = self._stub(other).ListEvents(request).events
         first_ms = entries[0].wall_ms
         for entry in entries:
             print(
--- a/primrosecross/adapters/json_log.py
+++ b/primrosecross/adapters/json_log.py
@@ -1,8 +1,22 @@
-"""Logs as JSON lines."""
+"""Logs as JSON lines, bounded in number for each kind of message.
 
+Lines never carry keys, paths, headers or bodies: a request is named by its id
+and the hash of its key.
+"""
+
+import dataclasses
 import json
 import logging
 import sys
+import time
+import types
+from collections.abc import Callable
+
+import gevent
+
+FIELDS = ("request_id", "key_hash", "service", "took_ms")
+WINDOW_S = 10.0
+MAX_IN_WINDOW = 50
 
 
 class JsonFormatter(logging.Formatter):
@@ -25,13 +39,88 @@
             "logger": record.name,
             "message": record.getMessage(),
         }
+        for field in (*FIELDS, "suppressed"):
+            if hasattr(record, field):
+                line[field] = getattr(record, field)
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
         return json.dumps(line)
 
 
+@dataclasses.dataclass(slots=True)
+class _Window:
+    started_s: float
+    passed: int = 0
+    suppressed: int = 0
+
+
+class RateLimit(logging.Filter):
+    """Lets a bounded number of lines of each kind through in a time.
+
+    The first line after some were held back says how many. A kind is a
+    logger, a level and a message before its arguments are put in.
+
+    Args:
+        limit: Lines let through in each window.
+        window_s: Length of a window.
+        now_s: Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        limit: int = MAX_IN_WINDOW,
+        window_s: float = WINDOW_S,
+        now_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._limit = limit
+        self._window_s = window_s
+        self._now_s = now_s
+        self._windows: dict[tuple[str, int, str], _Window] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Tells whether a record is written."""
+        now_s = self._now_s()
+        kind = (record.name, record.levelno, str(record.msg))
+        window = self._windows.setdefault(kind, _Window(now_s))
+        if now_s - window.started_s >= self._window_s:
+            window.started_s = now_s
+            window.passed = 0
+        if window.passed >= self._limit:
+            window.suppressed += 1
+            return False
+        window.passed += 1
+        if window.suppressed:
+            record.suppressed = window.suppressed
+            window.suppressed = 0
+        return True
+
+
 def configure(*, vm: str, level: str) -> None:
     """Sends all logs to standard error as JSON lines."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter(vm=vm))
+    handler.addFilter(RateLimit())
     logging.basicConfig(level=level, handlers=[handler], force=True)
+    gevent.get_hub().print_exception = _log_unhandled
+
+
+def _log_unhandled(
+    context: object,
+    kind: type[BaseException] | None,
+    error: BaseException | None,
+    trace: types.TracebackType | None,
+) -> None:
+    """Logs what ended a task, without its arguments, which may be a request."""
+    del context
+    name = getattr(kind, "__name__", "unknown")
+    lines = []
+    while trace is not None:
+        code = trace.tb_frame.f_code
+        lines.append(f"{code.co_name} line {trace.tb_lineno}")
+        trace = trace.tb_next
+    logging.getLogger(__name__).error(
+        "a task ended by %s in %s", name, " > ".join(lines)
+    )
+    del error
--- a/primrosecross/adapters/object_archive.py
+++ b/primrosecross/adapters/object_archive.py
@@ -16,6 +16,8 @@
 from primrosecross.ports import store as store_port
 
 PLANS = "plans"
+PAST_PLANS = "pastplans"
+KEPT_PLANS = 8
 ASSIGNMENTS = "assignments"
 TERMS = "terms"
 NAME = "current"
@@ -53,6 +55,38 @@
         """Writes the plan; returns the store's new version."""
         return self._write(PLANS, plan_model.to_spec(value), version)
 
+    def read_past_plan(self, version: int) -> plan.Plan | None:
+        """Returns a plan that was replaced, None if it is not kept."""
+        found = self._store.read(PAST_PLANS, _slot(version))
+        if found is None:
+            return None
+        past = plan_model.from_spec(found.spec)
+        return past if past.version == version else None
+
+    def keep_past_plan(self, value: plan.Plan) -> None:
+        """Keeps a plan in the slot of one KEPT_PLANS versions older.
+
+        An overtaken writer never replaces a newer plan: it reads the slot
+        first and writes on condition that the slot has not changed since.
+        """
+        name = _slot(value.version)
+        found = self._store.read(PAST_PLANS, name)
+        if found is not None and _plan_version(found) >= value.version:
+            return
+        spec = plan_model.to_spec(value)
+        try:
+            if found is None:
+                self._store.create(PAST_PLANS, name, spec)
+            else:
+                self._store.update(PAST_PLANS, name, spec, found.version)
+        except (errors.StoreConflictError, errors.StoreAnswerLostError):
+            found = self._store.read(PAST_PLANS, name)
+            if found is None or _plan_version(found) < value.version:
+                raise errors.StoreUnavailableError(
+                    f"plan {value.version} could not be kept for an undo",
+                    remedy="apply again; nothing was changed",
+                ) from None
+
     def read_assignment(self) -> tuple[assignment.Assignment | None, str]:
         """Returns the assignment."""
         found = self._store.read(ASSIGNMENTS, NAME)
@@ -108,6 +142,14 @@
             raise
 
 
+def _plan_version(found: store_port.StoredObject) -> int:
+    return plan_model.from_spec(found.spec).version
+
+
+def _slot(version: int) -> str:
+    return f"slot-{version % KEPT_PLANS}"
+
+
 class JsonStateCodec:
     """Plan and assignment between daemons: deflated JSON of the models."""
 
--- a/primrosecross/adapters/object_store.py
+++ b/primrosecross/adapters/object_store.py
@@ -13,15 +13,22 @@
 
 from primrosecross.domain import errors
 from primrosecross.domain import events
+from primrosecross.domain import stamp
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import store as store_port
 
+STAMP_ANNOTATION = "primrosecross.io/stamp"
 API_VERSION = "primrosecross.io/v1"
 REQUEST_TIMEOUT_MS = 2000
 CONNECTIONS = 4
 
 _logger = logging.getLogger(__name__)
-_KINDS = {"plans": "Plan", "assignments": "Assignment", "terms": "Term"}
+_KINDS = {
+    "plans": "Plan",
+    "pastplans": "PastPlan",
+    "assignments": "Assignment",
+    "terms": "Term",
+}
 
 
 class ObjectStore:
@@ -31,6 +38,8 @@
         url: Base URL, by IP number.
         clock: Clock for measuring outages.
         timeline: Where outages are recorded.
+        stamps: Stamps what is written, and takes in the stamps of what is
+            read, so that events ordered only through the store stay in order.
     """
 
     def __init__(
@@ -39,7 +48,9 @@
         url: str,
         clock: clock_port.Clock,
         timeline: events.Timeline,
+        stamps: stamp.StampClock,
     ) -> None:
+        self._stamps = stamps
         self._client = self._make_client(url, REQUEST_TIMEOUT_MS)
         self._watcher_url = url
         self._clock = clock
@@ -63,13 +74,15 @@
         if status == 404:
             return None
         _expect(status, (200,), kind, name)
-        return _stored(kind, body)
+        found = _stored(kind, body)
+        self._observe(body["metadata"])
+        return found
 
     def create(
         self, kind: str, name: str, spec: dict[str, Any]
     ) -> store_port.StoredObject:
         """Creates an object."""
-        body = _document(kind, name, "", spec)
+        body = self._document(kind, name, "", spec)
         status, answer = self._request("POST", _path(kind), body)
         if status == 409:
             raise _conflict(kind, name)
@@ -80,7 +93,7 @@
         self, kind: str, name: str, spec: dict[str, Any], version: str
     ) -> store_port.StoredObject:
         """Replaces an object if its version is still the one given."""
-        body = _document(kind, name, version, spec)
+        body = self._document(kind, name, version, spec)
         status, answer = self._request("PUT", _path(kind, name), body)
         if status in (404, 409):
             raise _conflict(kind, name)
@@ -130,6 +143,28 @@
         self._note_answer()
         return status, content
 
+    def _document(
+        self, kind: str, name: str, version: str, spec: dict[str, Any]
+    ) -> dict[str, Any]:
+        return {
+            "apiVersion": API_VERSION,
+            "kind": _KINDS[kind],
+            "metadata": {
+                "name": name,
+                "resourceVersion": version,
+                "annotations": {STAMP_ANNOTATION: str(self._stamps.now())},
+            },
+            "spec": spec,
+        }
+
+    def _observe(self, metadata: dict[str, Any]) -> None:
+        annotations = metadata.get("annotations")
+        if not isinstance(annotations, dict):
+            return
+        text = str(annotations.get(STAMP_ANNOTATION, ""))
+        if text.isascii() and text.isdigit():
+            self._stamps.observe(int(text))
+
     def _note_outage(self, problem: str) -> None:
         if not self._down_since_ns:
             self._down_since_ns = self._clock.now_ns()
@@ -146,17 +181,6 @@
     return f"/apis/{API_VERSION}/{kind}" + (f"/{name}" if name else "")
 
 
-def _document(
-    kind: str, name: str, version: str, spec: dict[str, Any]
-) -> dict[str, Any]:
-    return {
-        "apiVersion": API_VERSION,
-        "kind": _KINDS[kind],
-        "metadata": {"name": name, "resourceVersion": version},
-        "spec": spec,
-    }
-
-
 def _stored(kind: str, document: dict[str, Any]) -> store_port.StoredObject:
     try:
         metadata = document["metadata"]
--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -1,19 +1,21 @@
 """Operators' calls over gRPC, as defined in rpc/operator.proto."""
 
-import dataclasses
-import json
+import functools
 from collections.abc import Callable
 from concurrent import futures
+from typing import Any
 
 import grpc
 
+from primrosecross.adapters import operator_access
 from primrosecross.adapters import peer_streams
+from primrosecross.domain import collector as collector_module
 from primrosecross.domain import errors
-from primrosecross.domain import events
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
 from primrosecross.domain import operations as operations_module
 from primrosecross.domain import state as state_module
+from primrosecross.domain import status as status_module
 from primrosecross.models import plan as plan_model
 from primrosecross.rpc import operator_pb2
 from primrosecross.rpc import operator_pb2_grpc
@@ -33,17 +35,34 @@
 }
 
 
+def _translates(method: Callable) -> Callable:
+    """Turns the domain's errors into gRPC statuses."""
+
+    @functools.wraps(method)
+    def call(
+        self: "OperatorServicer", request: Any, context: grpc.ServicerContext
+    ) -> Any:
+        try:
+            return method(self, request)
+        except errors.RouterError as error:
+            code = _CODES.get(type(error), grpc.StatusCode.INTERNAL)
+            context.abort(code, str(error))
+
+    return call
+
+
 class OperatorServicer(operator_pb2_grpc.OperatorServicer):
     """Translates operators' calls.
 
     Args:
         vm: This VM's name.
         operations: What operators can ask for.
+        collector: Reads the time line.
         state: Plan and assignment in force here.
         lease: This daemon's lease.
-        timeline: This daemon's events.
         store_calls: Returns the number of calls made to the store.
         traffic: Bytes over connections to other daemons.
+        metrics: Returns this daemon's metrics in the Prometheus text format.
     """
 
     def __init__(
@@ -51,60 +70,65 @@
         *,
         vm: str,
         operations: operations_module.Operations,
+        collector: collector_module.Collector,
         state: state_module.State,
         lease: lease_module.Lease,
-        timeline: events.Timeline,
         store_calls: Callable[[], int],
         traffic: peer_streams.Traffic,
+        metrics: Callable[[], bytes],
     ) -> None:
         self._vm = vm
         self._operations = operations
+        self._collector = collector
         self._state = state
         self._lease = lease
-        self._timeline = timeline
         self._store_calls = store_calls
         self._traffic = traffic
+        self._metrics = metrics
 
-    def ApplyPlan(self, request, context):  # noqa: N802
+    @_translates
+    def ApplyPlan(self, request):  # noqa: N802
         """Validates and stores a plan."""
-        try:
-            candidate = plan_model.parse(
-                request.plan_json,
-                version=request.expected_version + 1,
-                author=request.author,
-            )
-            present = self._operations.plan_in_store()
-            changes = plan_model.differences(present, candidate)
-            if request.dry_run:
-                if present.version != request.expected_version:
-                    raise operations_module.conflict(present, candidate)
-            else:
-                self._operations.apply_plan(candidate)
-        except errors.RouterError as error:
-            _abort(context, error)
+        candidate = plan_model.parse(
+            request.plan_json,
+            version=request.expected_version + 1,
+            author=request.author,
+        )
+        if request.dry_run:
+            changes = self._operations.check_plan(candidate)
+        else:
+            changes = self._operations.apply_plan(candidate)
         return operator_pb2.ApplyPlanReply(
             version=candidate.version, changes=changes
         )
 
-    def GetPlan(self, request, context):  # noqa: N802
-        """Returns the stored plan."""
-        del request
-        try:
-            present = self._operations.plan_in_store()
-        except errors.RouterError as error:
-            _abort(context, error)
+    @_translates
+    def GetPlan(self, request):  # noqa: N802
+        """Returns the stored plan or a kept one."""
+        found = self._operations.plan_version(request.version)
         return operator_pb2.GetPlanReply(
-            version=present.version,
-            author=present.author,
-            plan_json=plan_model.render(present),
+            version=found.version,
+            author=found.author,
+            plan_json=plan_model.render(found),
+        )
+
+    @_translates
+    def ListPlans(self, request):  # noqa: N802
+        """Returns the kept versions of the plan."""
+        del request
+        return operator_pb2.ListPlansReply(
+            plans=[
+                operator_pb2.PlanSummary(
+                    version=p.version, author=p.author, changes=p.changes
+                )
+                for p in self._operations.plans()
+            ]
         )
 
-    def Where(self, request, context):  # noqa: N802
+    @_translates
+    def Where(self, request):  # noqa: N802
         """Tells who owns a key."""
-        try:
-            found = self._operations.where(request.service, request.key)
-        except errors.RouterError as error:
-            _abort(context, error)
+        found = self._operations.where(request.service, request.key)
         return operator_pb2.WhereReply(
             vm=found.grant.vm,
             generation=found.grant.generation,
@@ -113,72 +137,126 @@
             reason=found.reason,
         )
 
-    def Drain(self, request, context):  # noqa: N802
+    @_translates
+    def Drain(self, request):  # noqa: N802
         """Has a VM leave."""
-        try:
-            self._operations.drain(request.vm)
-        except errors.RouterError as error:
-            _abort(context, error)
+        self._operations.drain(request.vm)
         return operator_pb2.DrainReply()
 
-    def GetStatus(self, request, context):  # noqa: N802
-        """Returns members and what they confirmed."""
-        del request, context
-        confirmed = self._operations.confirmed()
-        by_vm = {c.vm: c for c in confirmed.confirms}
+    @_translates
+    def Undrain(self, request):  # noqa: N802
+        """Takes a leaving VM back."""
+        self._operations.undrain(request.vm)
+        return operator_pb2.UndrainReply()
+
+    @_translates
+    def GetStatus(self, request):  # noqa: N802
+        """Returns members and what is in force at each."""
+        view = self._operations.status(
+            probe=request.probe, late_for_plan=request.late_for_plan
+        )
         return operator_pb2.GetStatusReply(
             vm=self._vm,
             plan_version=self._state.plan.version,
             assignment_version=self._state.assignment.version,
             lease_held=self._lease.held(),
-            coordinator=confirmed.coordinator,
-            members=[
-                self._member_status(vm, by_vm.get(vm))
-                for vm in sorted(self._state.assignment.members)
-            ],
+            coordinator=view.coordinator,
+            members=[_member_status(m) for m in view.members],
+            services=[_service_status(s) for s in view.services],
             store_calls=self._store_calls(),
             sent_bytes=self._traffic.sent_bytes,
             received_bytes=self._traffic.received_bytes,
         )
 
-    def _member_status(
-        self, vm: str, confirm: messages.Confirm | None
-    ) -> operator_pb2.MemberStatus:
-        member = self._state.assignment.members[vm]
-        tables = self._state.assignment.tables.values()
-        return operator_pb2.MemberStatus(
-            vm=vm,
-            place=member.place,
-            state=member.state.value,
-            epoch=member.epoch,
-            plan_version=confirm.plan_version if confirm else 0,
-            assignment_version=confirm.assignment_version if confirm else 0,
-            shards=sum(len(table.shards_of(vm)) for table in tables),
-            confirmed=confirm is not None and confirm.epoch == member.epoch,
-            witnesses=member.witnesses,
+    @_translates
+    def ListEvents(self, request):  # noqa: N802
+        """Returns the time line."""
+        collected = self._collector.collect(
+            cursors=tuple(
+                messages.EventCursor(c.vm, c.incarnation, c.sequence)
+                for c in request.cursors
+            ),
+            limit=request.limit,
+            local=request.local,
         )
-
-    def ListEvents(self, request, context):  # noqa: N802
-        """Returns this daemon's part of the time line."""
-        del context
         return operator_pb2.ListEventsReply(
-            events=[
-                operator_pb2.EventEntry(
-                    vm=entry.vm,
-                    sequence=entry.sequence,
-                    stamp=entry.stamp,
-                    wall_ms=entry.wall_ms,
-                    kind=type(entry.event).__name__,
-                    detail_json=json.dumps(dataclasses.asdict(entry.event)),
+            events=[_event_entry(e) for e in collected.events],
+            cursors=[
+                operator_pb2.EventCursor(
+                    vm=c.vm, incarnation=c.incarnation, sequence=c.sequence
                 )
-                for entry in self._timeline.entries(after=request.after)
-            ]
+                for c in collected.cursors
+            ],
+            missing=[
+                operator_pb2.MissingMember(vm=m.vm, problem=m.problem)
+                for m in collected.missing
+            ],
+            dropped=collected.dropped,
         )
 
+    @_translates
+    def GetMetrics(self, request):  # noqa: N802
+        """Returns this daemon's metrics."""
+        del request
+        return operator_pb2.GetMetricsReply(text=self._metrics().decode())
+
+
+def _event_entry(event: messages.EventInfo) -> operator_pb2.EventEntry:
+    return operator_pb2.EventEntry(
+        vm=event.vm,
+        sequence=event.sequence,
+        stamp=event.stamp,
+        wall_ms=event.wall_ms,
+        kind=event.kind,
+        detail_json=event.detail_json,
+    )
 
-def _abort(context: grpc.ServicerContext, error: errors.RouterError) -> None:
-    code = _CODES.get(type(error), grpc.StatusCode.INTERNAL)
-    context.abort(code, str(error))
+
+def _service_status(
+    view: status_module.ServiceView,
+) -> operator_pb2.ServiceStatus:
+    return operator_pb2.ServiceStatus(
+        name=view.name,
+        shards=view.shards,
+        without_owner=view.without_owner,
+        moving=view.moving,
+        members=view.members,
+        imbalance=view.imbalance,
+    )
+
+
+def _member_status(view: status_module.MemberView) -> operator_pb2.MemberStatus:
+    status = operator_pb2.MemberStatus(
+        vm=view.member.vm,
+        place=view.member.place,
+        state=view.member.state.value,
+        epoch=view.member.epoch,
+        plan_version=view.plan_version,
+        assignment_version=view.assignment_version,
+        shards=view.shards,
+        confirmed=view.confirm is not None,
+        witnesses=view.member.witnesses,
+        targets=[_target_status(target) for target in view.targets],
+        asked=view.report is not None or bool(view.problem),
+        answers=view.report is not None,
+        problem=view.problem,
+    )
+    if view.report is not None:
+        status.lease_held = view.report.lease_held
+        status.in_flight = view.report.in_flight
+        status.answered = view.report.answered
+        status.not_run = view.report.not_run
+        status.unknown = view.report.unknown
+    return status
+
+
+def _target_status(view: status_module.TargetView) -> operator_pb2.TargetStatus:
+    return operator_pb2.TargetStatus(
+        service=view.offer.service,
+        slots=view.offer.slots,
+        checks_generation=view.offer.checks_generation,
+        shards=view.shards,
+    )
 
 
 class OperatorServer:
@@ -187,22 +265,35 @@
     Args:
         address: "ip:port" to listen on.
         servicer: Answers the calls.
+        access: Who may call what, and the certificate shown to callers.
     """
 
-    def __init__(self, *, address: str, servicer: OperatorServicer) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        servicer: OperatorServicer,
+        access: operator_access.Access,
+    ) -> None:
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=WORKERS),
+            interceptors=[operator_access.TokenInterceptor(access=access)],
             options=[("grpc.so_reuseport", 0)],
         )
         operator_pb2_grpc.add_OperatorServicer_to_server(servicer, self._server)
         self._address = address
+        self._access = access
 
     def start(self) -> None:
         """Begins to listen; raises OSError when the port is taken."""
+        credentials = self._access.credentials()
         try:
-            self._server.add_insecure_port(self._address)
+            if credentials is None:
+                self._server.add_insecure_port(self._address)
+            else:
+                self._server.add_secure_port(self._address, credentials)
         except RuntimeError as error:
-            raise OSError(f"cannot listen on {self._address}") from error
+            raise OSError(f"operator address {self._address}") from error
         self._server.start()
 
     def stop(self) -> None:
--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -9,6 +9,8 @@
 import signal  # noqa: E402
 import sys  # noqa: E402
 import uuid  # noqa: E402
+from collections.abc import Callable  # noqa: E402
+from typing import NoReturn  # noqa: E402
 
 import gevent  # noqa: E402
 import typer  # noqa: E402
@@ -19,8 +21,10 @@
 from primrosecross.adapters import boot_clock  # noqa: E402
 from primrosecross.adapters import caller_http  # noqa: E402
 from primrosecross.adapters import json_log  # noqa: E402
+from primrosecross.adapters import metrics_http  # noqa: E402
 from primrosecross.adapters import object_archive  # noqa: E402
 from primrosecross.adapters import object_store  # noqa: E402
+from primrosecross.adapters import operator_access  # noqa: E402
 from primrosecross.adapters import operator_rpc  # noqa: E402
 from primrosecross.adapters import peer_streams  # noqa: E402
 from primrosecross.adapters import target_http  # noqa: E402
@@ -60,7 +64,10 @@
             vm=settings.vm, clock=clock, stamps=stamps
         )
         store = object_store.ObjectStore(
-            url=settings.store_url, clock=clock, timeline=self.timeline
+            url=settings.store_url,
+            clock=clock,
+            timeline=self.timeline,
+            stamps=stamps,
         )
         self.peers = peer_streams.PeerStreams(
             hello=messages.Hello(
@@ -91,73 +98,148 @@
         )
         self._caller = caller_http.CallerServer(
             listen=_pair(settings.caller),
-            router=self.node.router,
+            router=self.node.metered_router,
             state=self.node.state,
             clock=clock,
         )
+        self._metrics = metrics_http.Metrics(
+            metrics_http.DaemonCollector(
+                meter=self.node.meter,
+                state=self.node.state,
+                lease=self.node.lease,
+                election=self.node.election,
+                executor=self.node.executor,
+                counters=self._counters(store),
+            )
+        )
+        self._metrics_server: metrics_http.MetricsServer | None = None
+        if settings.metrics is not None:
+            self._metrics_server = metrics_http.MetricsServer(
+                listen=_pair(settings.metrics), metrics=self._metrics
+            )
         self._operator = operator_rpc.OperatorServer(
             address=settings.operator.address,
+            access=operator_access.Access(_access_files(settings.operator)),
             servicer=operator_rpc.OperatorServicer(
                 vm=settings.vm,
                 operations=self.node.operations,
                 state=self.node.state,
                 lease=self.node.lease,
-                timeline=self.timeline,
+                collector=self.node.collector,
+                metrics=self._metrics.text,
                 store_calls=lambda: store.calls,
                 traffic=self.peers.traffic,
             ),
         )
 
+    def _counters(
+        self, store: object_store.ObjectStore
+    ) -> dict[str, tuple[str, Callable[[], int]]]:
+        traffic = self.peers.traffic
+        return {
+            "store_calls": ("Calls to the store.", lambda: store.calls),
+            "peer_sent_bytes": (
+                "Bytes sent to other daemons.",
+                lambda: traffic.sent_bytes,
+            ),
+            "peer_received_bytes": (
+                "Bytes received from other daemons.",
+                lambda: traffic.received_bytes,
+            ),
+            "events": (
+                "Events recorded in the time line.",
+                lambda: self.timeline.sequence,
+            ),
+        }
+
     def start(self) -> None:
-        """Listens and starts all tasks; raises OSError for a taken port."""
+        """Listens and starts all tasks.
+
+        Raises:
+            OSError: A port is taken.
+            errors.SettingsError: A certificate file cannot be read.
+        """
         self.peers.start()
         self._announce.start()
         self._operator.start()
         self._caller.start()
+        if self._metrics_server is not None:
+            self._metrics_server.start()
         try:
             self.node.sync.read_store()
         except errors.StoreError as error:
-            _logger.warning("starting without the store: %s", error)
+            _logger.warning(
+                "starting without the store: %s; this daemon serves nothing "
+                "of its own until the store answers, and tries again",
+                error,
+            )
         self.node.start()
 
     def stop(self) -> None:
         """Stops listening and ends all connections."""
         self._caller.stop()
         self._operator.stop()
+        if self._metrics_server is not None:
+            self._metrics_server.stop()
         self._announce.stop()
         self.peers.stop()
 
 
+def _access_files(
+    operator: settings_model.OperatorListen,
+) -> operator_access.AccessFiles:
+    return operator_access.AccessFiles(
+        read_tokens=operator.read_token_file,
+        write_tokens=operator.write_token_file,
+        certificate=operator.certificate_file,
+        key=operator.key_file,
+    )
+
+
 def _pair(listen: settings_model.Listen) -> tuple[str, int]:
     return str(listen.host), listen.port
 
 
 def run(
-    settings: pathlib.Path = typer.Argument(help="Settings file, JSON."),  # noqa: B008
+    settings: pathlib.Path | None = typer.Argument(  # noqa: B008
+        None, help="Settings file, JSON."
+    ),
     check: bool = typer.Option(
         False, "--check", help="Validate the settings and exit."
     ),
+    schema: bool = typer.Option(
+        False, "--schema", help="Print the settings' JSON Schema and exit."
+    ),
 ) -> None:
     """Routes requests to the one owner of their keys."""
+    if schema:
+        typer.echo(settings_model.schema(), nl=False)
+        return
+    if settings is None:
+        _fail(EXIT_INVALID, "no settings file given; see --help")
     try:
         loaded = settings_model.load(settings)
     except errors.SettingsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_INVALID) from error
+        _fail(EXIT_INVALID, str(error))
     if check:
-        typer.echo(f"{settings}: valid")
+        typer.echo(f"{settings}: valid. {settings_model.RESTART_NOTE}")
         return
-    json_log.configure(vm=loaded.vm, level=loaded.log_level)
+    _serve(loaded)
+
+
+def _serve(settings: settings_model.Settings) -> None:
+    json_log.configure(vm=settings.vm, level=settings.log_level)
     grpc_gevent.init_gevent()
-    daemon = Daemon(loaded)
+    daemon = Daemon(settings)
     try:
         daemon.start()
     except OSError as error:
-        typer.echo(
+        _fail(
+            EXIT_PORT_TAKEN,
             f"cannot listen: {error}; free the port or change the settings",
-            err=True,
         )
-        raise typer.Exit(EXIT_PORT_TAKEN) from error
+    except errors.SettingsError as error:
+        _fail(EXIT_INVALID, str(error))
     stopping = gevent_event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
@@ -166,9 +248,17 @@
     sys.exit(0)
 
 
+def _fail(code: int, text: str) -> NoReturn:
+    """Says on one line why the daemon does not run, and ends it."""
+    typer.echo(text, err=True)
+    raise typer.Exit(code)
+
+
 def main() -> None:
     """Entry point of primrosecrossd."""
-    typer.run(run)
+    app = typer.Typer(pretty_exceptions_enable=False, add_completion=False)
+    app.command()(run)
+    app()
 
 
 if __name__ == "__main__":
--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/coordinator.py
@@ -87,6 +87,7 @@
         self._take.register(messages.Release, self._take_in)
         self._take.register(messages.Confirm, self._take_confirm)
         self._take.register(messages.Drain, self._take_in)
+        self._take.register(messages.Undrain, self._take_in)
         self._take.register(messages.ListConfirmed, self._list_confirmed)
         self.confirmed: dict[str, messages.Confirm] = {}
 
@@ -201,12 +202,13 @@
         )
 
     def _write(self, draft: decisions.Draft) -> None:
+        stamp = self._timeline.stamp()
         self._store_version = self._archive.write_assignment(
             draft.assignment, self._store_version
         )
         self._state.offer_assignment(draft.assignment)
         for event in draft.recorded:
-            self._timeline.record(event)
+            self._timeline.record(event, stamp=stamp)
 
     def _still_waits(self, message: object) -> bool:
         if not isinstance(message, messages.Join):
--- a/primrosecross/domain/decisions.py
+++ b/primrosecross/domain/decisions.py
@@ -109,7 +109,24 @@
 def _(drain: messages.Drain, draft: Draft) -> int:
     if drain.vm not in draft.assignment.members:
         return 0
-    return _mark(draft, drain.vm, assignment.MemberState.LEAVING)
+    marked = _mark(draft, drain.vm, assignment.MemberState.LEAVING)
+    if marked:
+        epoch = draft.assignment.members[drain.vm].epoch
+        draft.recorded.append(events.MemberDraining(drain.vm, epoch))
+    return marked
+
+
+@apply.register
+def _(undrain: messages.Undrain, draft: Draft) -> int:
+    member = draft.assignment.members.get(undrain.vm)
+    if member is None or member.state is not assignment.MemberState.LEAVING:
+        return 0
+    marked = _mark(draft, undrain.vm, assignment.MemberState.ACTIVE)
+    for table in draft.assignment.tables.values():
+        for shard in table.shards_of(undrain.vm):
+            table.moves.pop(shard, None)
+    draft.recorded.append(events.MemberUndrained(undrain.vm, member.epoch))
+    return marked
 
 
 @apply.register
--- a/primrosecross/domain/events.py
+++ b/primrosecross/domain/events.py
@@ -47,12 +47,53 @@
     shards: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberDraining:
+    """An operator had a member leave."""
+
+    vm: str
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberUndrained:
+    """An operator took a leaving member back."""
+
+    vm: str
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnedShards:
+    """Shards of one service that this daemon owns.
+
+    Attributes:
+        service: Name of the service.
+        owned: Shards owned now.
+        gained: Shards owned now that were not owned before.
+        lost: Shards owned before that are not owned now.
+    """
+
+    service: str
+    owned: int
+    gained: int
+    lost: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnersChanged:
-    """A newer assignment is in force here."""
+    """A newer assignment changed what this daemon owns."""
 
     assignment_version: int
-    owned_shards: int
+    services: tuple[OwnedShards, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanApplied:
+    """An operator applied a plan through this daemon."""
+
+    plan_version: int
+    author: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,17 +125,52 @@
     outage_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalBurst:
+    """Many requests that entered here were refused within a short time.
+
+    Attributes:
+        service: Name of the service.
+        reason: Why they were refused.
+        refused: Requests refused for it since the last such event.
+    """
+
+    service: str
+    reason: str
+    refused: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionGivenUp:
+    """A connection to another daemon ended or fell silent.
+
+    Attributes:
+        peer: VM of the other daemon.
+        problem: What was seen.
+        unanswered: Calls on it that were not answered.
+    """
+
+    peer: str
+    problem: str
+    unanswered: int
+
+
 Event = (
     LeaseGained
     | LeaseLost
     | MemberJoined
     | MemberSuspected
     | MemberRevoked
+    | MemberDraining
+    | MemberUndrained
     | OwnersChanged
+    | PlanApplied
     | PlanInForce
     | CoordinatorElected
     | StoreOutage
     | StoreReturned
+    | RefusalBurst
+    | ConnectionGivenUp
 )
 
 
@@ -143,14 +219,28 @@
         )
         self._sequence = 0
 
-    def record(self, event: Event) -> None:
-        """Appends an event."""
+    @property
+    def sequence(self) -> int:
+        """Sequence of the latest event."""
+        return self._sequence
+
+    def stamp(self) -> int:
+        """Returns a stamp for an event whose effects may be seen at once.
+
+        What is written to the store may be read before the writer learns that
+        the write succeeded; the stamp is taken before, the event recorded
+        after.
+        """
+        return self._stamps.now()
+
+    def record(self, event: Event, *, stamp: int = 0) -> None:
+        """Appends an event, under a stamp taken earlier if one is given."""
         self._sequence += 1
         self._entries.append(
             Entry(
                 vm=self._vm,
                 sequence=self._sequence,
-                stamp=self._stamps.now(),
+                stamp=stamp or self._stamps.now(),
                 wall_ms=self._clock.wall_ms(),
                 event=event,
             )
--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -66,6 +66,10 @@
             return self._targets.run(announcement, req, fence)
         return self._execute_owned(announcement, req)
 
+    def in_flight(self) -> int:
+        """Returns the keyed requests that run on targets now."""
+        return self._in_flight.total()
+
     def _find(self, service: str) -> target_port.Announcement | None:
         for announcement in self.announced.values():
             if announcement.service == service:
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -141,6 +141,99 @@
     vm: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undrain:
+    """Asks the coordinator to take a drained member back; answered by Done."""
+
+    vm: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks a daemon how it is; answered by ProbeReport."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeReport:
+    """How a daemon is.
+
+    Attributes:
+        lease_held: Whether it holds its lease now.
+        plan_version: Version in force there.
+        assignment_version: Version in force there.
+        in_flight: Requests that run on its targets now.
+        answered: Requests that entered there and were answered.
+        not_run: Requests that entered there and were refused.
+        unknown: Requests that entered there and may have run.
+    """
+
+    lease_held: bool
+    plan_version: int
+    assignment_version: int
+    in_flight: int
+    answered: int
+    not_run: int
+    unknown: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventCursor:
+    """How far a reader has read one process's part of the time line."""
+
+    vm: str
+    incarnation: str
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadTimeline:
+    """Asks a daemon for its part of the time line; answered by TimelinePart.
+
+    Attributes:
+        cursor: What the reader has read before.
+        limit: Most events wanted; the latest are given.
+    """
+
+    cursor: EventCursor
+    limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventInfo:
+    """One event of the time line, rendered.
+
+    Attributes:
+        vm: VM of the process that recorded it.
+        sequence: Position in that process's time line.
+        stamp: Hybrid logical time.
+        wall_ms: Wall clock of that process.
+        kind: Name of the event's class.
+        detail_json: The event's fields.
+    """
+
+    vm: str
+    sequence: int
+    stamp: int
+    wall_ms: int
+    kind: str
+    detail_json: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimelinePart:
+    """A daemon's part of the time line.
+
+    Attributes:
+        cursor: What the reader has read once it has this part.
+        events: Events after the reader's cursor.
+        dropped: Events after the reader's cursor that are not given.
+    """
+
+    cursor: EventCursor
+    events: tuple[EventInfo, ...]
+    dropped: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListConfirmed:
     """Asks the coordinator what members confirmed; answered by Confirmed."""
@@ -231,6 +324,11 @@
     | Release
     | Confirm
     | Drain
+    | Undrain
+    | Probe
+    | ProbeReport
+    | ReadTimeline
+    | TimelinePart
     | ListConfirmed
     | Confirmed
     | FetchState
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from primrosecross.domain import collector as collector_module
 from primrosecross.domain import coordinator as coordinator_module
 from primrosecross.domain import election as election_module
 from primrosecross.domain import errors
@@ -15,6 +16,7 @@
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import membership as membership_module
 from primrosecross.domain import messages
+from primrosecross.domain import meter as meter_module
 from primrosecross.domain import office as office_module
 from primrosecross.domain import operations as operations_module
 from primrosecross.domain import request
@@ -125,8 +127,25 @@
             peers=ports.peers,
             clock=clock,
         )
+        self.meter = meter_module.Meter(clock=clock, timeline=timeline)
+        self.metered_router = meter_module.MeteredRouter(
+            router=self.router, state=self.state, meter=self.meter, clock=clock
+        )
+        self.collector = collector_module.Collector(
+            vm=vm,
+            incarnation=identity.incarnation,
+            state=self.state,
+            peers=ports.peers,
+            timeline=timeline,
+        )
         self.operations = operations_module.Operations(
-            state=self.state, archive=ports.archive, office=self.office
+            vm=vm,
+            state=self.state,
+            archive=ports.archive,
+            office=self.office,
+            peers=ports.peers,
+            probe=self._report,
+            timeline=timeline,
         )
         self._answer = functools.singledispatch(self.coordinator.handle)
         self._answer.register(
@@ -135,6 +154,8 @@
         self._answer.register(messages.Refuse, self.membership.answer_refuse)
         self._answer.register(messages.FetchState, self.sync.snapshot)
         self._answer.register(messages.Forward, self._answer_forward)
+        self._answer.register(messages.Probe, self._report)
+        self._answer.register(messages.ReadTimeline, self.collector.part)
 
     def handle(self, message: messages.Message) -> messages.Message:
         """Answers a message from another daemon."""
@@ -161,6 +182,17 @@
         )
         return router_module.answer_of(self.executor.execute(req))
 
+    def _report(self, _: messages.Probe) -> messages.ProbeReport:
+        return messages.ProbeReport(
+            lease_held=self.lease.held(),
+            plan_version=self.state.plan.version,
+            assignment_version=self.state.assignment.version,
+            in_flight=self.executor.in_flight(),
+            answered=self.meter.total("answered"),
+            not_run=self.meter.total("not-run"),
+            unknown=self.meter.total("unknown"),
+        )
+
     def announced(self, announcement: target_port.Announcement) -> None:
         """Takes in what a target beside this daemon says of itself."""
         self.executor.announced[announcement.address] = announcement
--- a/primrosecross/domain/operations.py
+++ b/primrosecross/domain/operations.py
@@ -1,16 +1,24 @@
 """What operators can ask for, independent of how the calls arrive."""
 
 import dataclasses
+from collections.abc import Callable
 
 from primrosecross.domain import assignment
 from primrosecross.domain import errors
+from primrosecross.domain import events
+from primrosecross.domain import fanout
 from primrosecross.domain import messages
 from primrosecross.domain import office as office_module
 from primrosecross.domain import plan
 from primrosecross.domain import state as state_module
+from primrosecross.domain import status as status_module
 from primrosecross.ports import archive as archive_port
+from primrosecross.ports import peers as peers_port
 
 COORDINATOR_TIMEOUT_MS = 3000
+PROBE_TIMEOUT_MS = 1000
+PROBES_TIMEOUT_MS = 3000
+MAX_PLANS_LISTED = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,34 +31,108 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanSummary:
+    """A kept version of the plan and how it differs from the one before."""
+
+    version: int
+    author: str
+    changes: tuple[str, ...]
+
+
 class Operations:
     """Operators' calls.
 
     Args:
+        vm: This VM's name.
         state: Plan and assignment in force here.
         archive: Where the plan is stored.
         office: Reaches the coordinator.
+        peers: Other daemons.
+        probe: Answers for this daemon when members are asked how they are.
+        timeline: Where applied plans are recorded.
     """
 
     def __init__(
         self,
         *,
+        vm: str,
         state: state_module.State,
         archive: archive_port.Archive,
         office: office_module.Office,
+        peers: peers_port.Peers,
+        probe: Callable[[messages.Probe], messages.ProbeReport],
+        timeline: events.Timeline,
     ) -> None:
+        self._vm = vm
         self._state = state
         self._archive = archive
         self._office = office
+        self._peers = peers
+        self._probe = probe
+        self._timeline = timeline
 
     def plan_in_store(self) -> plan.Plan:
         """Returns the stored plan, or the empty one."""
         stored, _ = self._archive.read_plan()
         return stored or plan.EMPTY
 
-    def apply_plan(self, candidate: plan.Plan) -> None:
+    def plan_version(self, version: int) -> plan.Plan:
+        """Returns a version of the plan, 0 for the stored one.
+
+        Raises:
+            errors.NotFoundError: It is not kept.
+        """
+        present = self.plan_in_store()
+        if version in (0, present.version):
+            return present
+        past = self._archive.read_past_plan(version)
+        if past is None:
+            raise errors.NotFoundError(
+                f"plan version {version} is not kept",
+                remedy="see the list of plans for the versions that are",
+            )
+        return past
+
+    def plans(self) -> list[PlanSummary]:
+        """Returns the kept versions of the plan, newest first."""
+        newer = self.plan_in_store()
+        summaries = []
+        while newer.version and len(summaries) < MAX_PLANS_LISTED:
+            older = self._past(newer.version - 1)
+            changes = ()
+            if older is not None:
+                changes = tuple(plan.differences(older, newer))
+            summaries.append(PlanSummary(newer.version, newer.author, changes))
+            if older is None:
+                break
+            newer = older
+        return summaries
+
+    def _past(self, version: int) -> plan.Plan | None:
+        if version <= 0:
+            return plan.EMPTY if version == 0 else None
+        return self._archive.read_past_plan(version)
+
+    def check_plan(self, candidate: plan.Plan) -> list[str]:
+        """Returns what a plan would change, without changing anything.
+
+        Raises:
+            errors.PlanConflictError: Another operator was faster.
+        """
+        present = self.plan_in_store()
+        if present.version != candidate.version - 1:
+            raise self._conflict(present, candidate)
+        return plan.differences(present, candidate)
+
+    def apply_plan(self, candidate: plan.Plan) -> list[str]:
         """Stores a plan if it follows the version that is stored now.
 
+        The plan it replaces is kept first, so that it can be applied again.
+
+        Returns:
+            What changed.
+
         Raises:
             errors.PlanConflictError: Another operator was faster.
             errors.StoreError: The store does not answer.
@@ -58,12 +140,41 @@
         stored, version = self._archive.read_plan()
         present = stored or plan.EMPTY
         if present.version != candidate.version - 1:
-            raise conflict(present, candidate)
+            raise self._conflict(present, candidate)
+        if stored is not None:
+            self._archive.keep_past_plan(stored)
+        stamp = self._timeline.stamp()
         try:
             self._archive.write_plan(candidate, version)
         except errors.StoreConflictError as error:
-            raise conflict(self.plan_in_store(), candidate) from error
+            raise self._conflict(self.plan_in_store(), candidate) from error
+        self._timeline.record(
+            events.PlanApplied(candidate.version, candidate.author),
+            stamp=stamp,
+        )
         self._state.offer_plan(candidate)
+        return plan.differences(present, candidate)
+
+    def _conflict(
+        self, present: plan.Plan, candidate: plan.Plan
+    ) -> errors.PlanConflictError:
+        """Returns the error that says who changed what meanwhile."""
+        base = candidate.version - 1
+        return errors.PlanConflictError(
+            f"you changed version {base}, but the plan is at version "
+            f"{present.version} ({self._changes_since(base)})",
+            remedy="get the plan, redo your change on it and apply it with "
+            f"--expected-version {present.version}; nothing was changed",
+        )
+
+    def _changes_since(self, base: int) -> str:
+        texts = [
+            f"version {p.version} by {p.author or 'nobody'}: "
+            + (", ".join(p.changes) or "no difference")
+            for p in self.plans()
+            if p.version > base
+        ]
+        return "; ".join(texts) or "an earlier one"
 
     def where(self, service: str, key: str) -> Location:
         """Tells who owns a key.
@@ -89,11 +200,64 @@
         Raises:
             errors.NotFoundError: No such member.
         """
+        self._check_member(vm)
+        self._office.tell(messages.Drain(vm), timeout_ms=COORDINATOR_TIMEOUT_MS)
+
+    def undrain(self, vm: str) -> None:
+        """Takes a leaving member back.
+
+        Raises:
+            errors.NotFoundError: No such member.
+        """
+        self._check_member(vm)
+        self._office.tell(
+            messages.Undrain(vm), timeout_ms=COORDINATOR_TIMEOUT_MS
+        )
+
+    def _check_member(self, vm: str) -> None:
         if vm not in self._state.assignment.members:
             raise errors.NotFoundError(
                 f"no member {vm!r}", remedy="see the status for members"
             )
-        self._office.tell(messages.Drain(vm), timeout_ms=COORDINATOR_TIMEOUT_MS)
+
+    def status(
+        self, *, probe: bool = False, late_for_plan: int = 0
+    ) -> status_module.ClusterView:
+        """Returns how the cluster is.
+
+        Args:
+            probe: Whether to ask members themselves.
+            late_for_plan: If set, only members that have not confirmed this
+                plan version are asked.
+        """
+        view = status_module.view(self._state.assignment, self.confirmed())
+        if not probe:
+            return view
+        asked = [
+            m.member.vm
+            for m in view.members
+            if not late_for_plan or m.plan_version < late_for_plan
+        ]
+        answers = self._ask(asked)
+        members = tuple(
+            status_module.with_answer(m, answers[m.member.vm])
+            if m.member.vm in answers
+            else m
+            for m in view.members
+        )
+        return dataclasses.replace(view, members=members)
+
+    def _ask(self, vms: list[str]) -> dict[str, fanout.Answer]:
+        probe = messages.Probe()
+        answers = fanout.ask_all(
+            self._peers,
+            {vm: probe for vm in vms if vm != self._vm},
+            timeout_ms=PROBE_TIMEOUT_MS,
+            total_ms=PROBES_TIMEOUT_MS,
+        )
+        if self._vm in vms:
+            answers[self._vm] = self._probe(probe)
+        return answers
 
     def confirmed(self) -> messages.Confirmed:
         """Returns what each member last confirmed; empty if unknown."""
@@ -106,13 +270,3 @@
         if isinstance(answer, messages.Confirmed):
             return answer
         return messages.Confirmed("", ())
-
-
-def conflict(present: plan.Plan, candidate: plan.Plan) -> errors.RouterError:
-    """Returns the error for a plan that does not follow the present one."""
-    return errors.PlanConflictError(
-        f"the plan is at version {present.version}, applied by "
-        f"{present.author or 'nobody'}, and you changed version "
-        f"{candidate.version - 1}",
-        remedy="get the plan, redo your change on it and apply it again",
-    )
--- a/primrosecross/domain/plan.py
+++ b/primrosecross/domain/plan.py
@@ -1,6 +1,7 @@
 """The plan: what operators declare about services, places and keys."""
 
 import dataclasses
+from typing import Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,4 +72,39 @@
     services: dict[str, Service]
 
 
+def differences(present: Plan, candidate: Plan) -> list[str]:
+    """Returns one line for each place or service that differs."""
+    lines = []
+    for field in ("places", "services"):
+        before = getattr(present, field)
+        after = getattr(candidate, field)
+        noun = field.removesuffix("s")
+        for name in sorted({*before, *after}):
+            if name not in after:
+                lines.append(f"- {noun} {name}")
+            elif name not in before:
+                lines.append(f"+ {noun} {name}")
+            elif before[name] != after[name]:
+                changed = ", ".join(_changed(before[name], after[name]))
+                lines.append(f"~ {noun} {name}: {changed}")
+    return lines
+
+
+def _changed(before: Any, after: Any) -> list[str]:
+    """Returns "field old -> new" for each field that differs."""
+    lines = []
+    for field in dataclasses.fields(after):
+        old = getattr(before, field.name)
+        new = getattr(after, field.name)
+        if old != new:
+            lines.append(f"{field.name} {_brief(old)} -> {_brief(new)}")
+    return lines
+
+
+def _brief(value: Any) -> str:
+    if isinstance(value, frozenset):
+        return ",".join(sorted(value)) or "none"
+    return str(value)
+
+
 EMPTY = Plan(version=0, author="", places={}, services={})
--- a/primrosecross/domain/state.py
+++ b/primrosecross/domain/state.py
@@ -22,6 +22,11 @@
         self.plan = plan.EMPTY
         self.assignment = assignment.Assignment()
 
+    @property
+    def vm(self) -> str:
+        """This VM's name."""
+        return self._vm
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls a function after each change; it must not block."""
         self._listeners.append(listener)
@@ -41,14 +46,29 @@
         """Puts an assignment in force if newer; returns whether it was."""
         if candidate.version <= self.assignment.version:
             return False
+        services = self._owned(self.assignment, candidate)
         self.assignment = candidate
-        owned = sum(
-            len(t.shards_of(self._vm)) for t in candidate.tables.values()
-        )
-        self._timeline.record(events.OwnersChanged(candidate.version, owned))
+        if any(s.gained or s.lost for s in services):
+            self._timeline.record(
+                events.OwnersChanged(candidate.version, services)
+            )
         self._notify()
         return True
 
+    def _owned(
+        self, before: assignment.Assignment, after: assignment.Assignment
+    ) -> tuple[events.OwnedShards, ...]:
+        services = []
+        for name in sorted({*before.tables, *after.tables}):
+            old = _shards(before.tables.get(name), self._vm)
+            new = _shards(after.tables.get(name), self._vm)
+            if old or new:
+                gained, lost = len(new - old), len(old - new)
+                services.append(
+                    events.OwnedShards(name, len(new), gained, lost)
+                )
+        return tuple(services)
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
@@ -56,3 +76,7 @@
     def member(self) -> assignment.Member | None:
         """Returns this VM's member record, if it has been admitted."""
         return self.assignment.members.get(self._vm)
+
+
+def _shards(table: assignment.OwnerTable | None, vm: str) -> set[int]:
+    return set() if table is None else set(table.shards_of(vm))
--- a/primrosecross/models/plan.py
+++ b/primrosecross/models/plan.py
@@ -226,20 +226,3 @@
 def render(value: plan.Plan) -> bytes:
     """Returns a plan as operators write it."""
     return _to_model(value).plan.model_dump_json(indent=2).encode()
-
-
-def differences(present: plan.Plan, candidate: plan.Plan) -> list[str]:
-    """Returns one line for each place or service that differs."""
-    lines = []
-    for field in ("places", "services"):
-        before = getattr(present, field)
-        after = getattr(candidate, field)
-        noun = field.removesuffix("s")
-        for name in sorted({*before, *after}):
-            if name not in after:
-                lines.append(f"- {noun} {name}")
-            elif name not in before:
-                lines.append(f"+ {noun} {name}")
-            elif before[name] != after[name]:
-                lines.append(f"~ {noun} {name}")
-    return lines
--- a/primrosecross/models/settings.py
+++ b/primrosecross/models/settings.py
@@ -1,5 +1,6 @@
 """The daemon's settings file."""
 
+import json
 import pathlib
 
 import pydantic
@@ -30,6 +31,37 @@
         return f"{self.host}:{self.port}"
 
 
+class OperatorListen(Listen):
+    """Where operators' calls arrive, and who may make them.
+
+    Token files hold one token a line; certificates and keys are PEM. All are
+    read again when they change.
+
+    Attributes:
+        read_token_file: Tokens that permit reading.
+        write_token_file: Tokens that permit reading and changing.
+        certificate_file: Certificate chain shown to callers.
+        key_file: The certificate's private key.
+    """
+
+    read_token_file: pathlib.Path | None = None
+    write_token_file: pathlib.Path | None = None
+    certificate_file: pathlib.Path | None = None
+    key_file: pathlib.Path | None = None
+
+    @pydantic.model_validator(mode="after")
+    def _is_safe(self) -> "OperatorListen":
+        if (self.certificate_file is None) != (self.key_file is None):
+            raise ValueError("certificate_file and key_file go together")
+        guarded = self.write_token_file and self.certificate_file
+        if not self.host.is_loopback and not guarded:
+            raise ValueError(
+                f"{self.host} is no loopback address, so write_token_file, "
+                "certificate_file and key_file are required"
+            )
+        return self
+
+
 class Settings(pydantic.BaseModel):
     """Settings of one daemon.
 
@@ -45,6 +77,7 @@
         store_url: Base URL of the platform's object API, by IP number.
         seeds: Peer addresses to ask for state while the store is down.
         log_level: Least severe level that is logged.
+        metrics: Where GET /metrics is answered; nowhere by default.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -55,13 +88,30 @@
     region: str = pydantic.Field(pattern=_NAME)
     peer: Listen
     caller: Listen
-    operator: Listen
+    operator: OperatorListen
     announce: Listen
     store_url: str = pydantic.Field(pattern=r"^http://[0-9.]+:\d+$")
     seeds: tuple[str, ...] = ()
     log_level: str = pydantic.Field(
         default="INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
     )
+    metrics: Listen | None = None
+
+
+RESTART_NOTE = (
+    "Every setting takes effect at a restart. Token and certificate files "
+    "named here are read again when they change; the plan needs no restart."
+)
+
+
+def schema() -> str:
+    """Returns the JSON Schema of the settings file."""
+    document = {
+        "$schema": "https://json-schema.org/draft/2020-12/schema",
+        **Settings.model_json_schema(),
+        "$comment": RESTART_NOTE,
+    }
+    return json.dumps(document, indent=2) + "\n"
 
 
 def load(path: pathlib.Path) -> Settings:
@@ -80,7 +130,8 @@
     except pydantic.ValidationError as error:
         raise errors.SettingsError(
             f"settings {path}: {describe(error)}",
-            remedy="correct the field and start again",
+            remedy="correct the field and start again; "
+            "primrosecrossd --schema prints what is valid",
         ) from error
 
 
--- a/primrosecross/ports/archive.py
+++ b/primrosecross/ports/archive.py
@@ -38,6 +38,12 @@
     def write_plan(self, value: plan.Plan, version: str) -> str:
         """Writes the plan; returns the store's new version."""
 
+    def read_past_plan(self, version: int) -> plan.Plan | None:
+        """Returns a plan that was replaced, None if it is not kept."""
+
+    def keep_past_plan(self, value: plan.Plan) -> None:
+        """Keeps a plan that is about to be replaced; idempotent."""
+
     def read_assignment(self) -> tuple[assignment.Assignment | None, str]:
         """Returns the assignment."""
 
