--- /dev/null
+++ b/primrosecross/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' command line."""
