--- a/tests/test_operators_http.py
+++ b/tests/test_operators_http.py
@@ -36,6 +36,8 @@
 
 
 class HttpServerTest(unittest.TestCase):
+    """Answers of the plain server and of ours, side by side."""
+
     def test_answers_do_not_wait_for_acknowledgements(self):
         plain_s = _time_s(pywsgi.WSGIServer)
         ours_s = _time_s(http_server.HttpServer)
