--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -112,6 +112,10 @@
             NOT_OWNER_RETRY_MS,
         )
 
+    def in_flight(self) -> int:
+        """Returns the keyed requests that run on targets now."""
+        return self._in_flight.total()
+
     def _find(self, service: str) -> target_port.Announcement | None:
         for announcement in self.announced.values():
             if announcement.service == service:
