Give connections a heartbeat, lanes and exact unsent points

Cause: a connection that went silent was never noticed, control messages waited behind requests, and a message still queued was reported as lost. A stranger may send 4 KB before its greeting is accepted. Streamed bodies (credits, pieces in turn, length and checksum) are part of the connection; nothing uses them yet.

--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -7,7 +7,7 @@
 
 import grpc
 
-from primrosecross.adapters import peer_streams
+from primrosecross.adapters import peer_connection
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import lease as lease_module
@@ -55,7 +55,7 @@
         lease: lease_module.Lease,
         timeline: events.Timeline,
         store_calls: Callable[[], int],
-        traffic: peer_streams.Traffic,
+        traffic: peer_connection.Traffic,
     ) -> None:
         self._vm = vm
         self._operations = operations
--- a/primrosecross/adapters/peer_codec.py
+++ b/primrosecross/adapters/peer_codec.py
@@ -1,21 +1,33 @@
 """Encoding of messages between daemons as msgpack.
 
 A frame is [call number, is answer, stamp, kind, fields...]; fields follow
-the order of the message's data class.
+the order of the message's data class. A streamed body is an extension that
+holds its length; its pieces follow in frames of their own.
 """
 
 import dataclasses
+import functools
 import operator
 import typing
+from collections.abc import Callable
 from collections.abc import Iterator
 
 import msgpack
 import pydantic
 
+from primrosecross.adapters import peer_body
+from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import messages
 
-MAX_FRAME_BYTES = 80 << 20
+MAX_FRAME_BYTES = 4 << 20
+MAX_ITEMS = 1 << 16
+MAX_HELLO_BYTES = 4096
+MAX_HELLO_ITEMS = 16
+STREAM_EXTENSION = 1
+LENGTH_BYTES = 8
+
+Check = Callable[[object], object]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,41 +40,111 @@
     message: messages.Message
 
 
+def _exactly(wanted: type) -> Check:
+    def check(value: object) -> object:
+        if type(value) is not wanted:
+            raise ValueError(f"{type(value).__name__} is no {wanted.__name__}")
+        return value
+
+    return check
+
+
+def _check_headers(value: object) -> object:
+    if type(value) is not tuple:
+        raise ValueError("headers are no list")
+    for pair in value:
+        if type(pair) is not tuple or len(pair) != 2:
+            raise ValueError("a header is no pair")
+        if type(pair[0]) is not str or type(pair[1]) is not str:
+            raise ValueError("a header is no text")
+    return value
+
+
+def _check_body(value: object) -> object:
+    if not isinstance(value, bytes | peer_body.Incoming):
+        raise ValueError(f"{type(value).__name__} is no body")
+    return value
+
+
+_CHECKS: dict[object, Check] = {
+    int: _exactly(int),
+    bool: _exactly(bool),
+    str: _exactly(str),
+    bytes: _exactly(bytes),
+    tuple[tuple[str, str], ...]: _check_headers,
+    body.Body: _check_body,
+}
+
+
+def _check_of(annotation: object) -> Check:
+    """Returns the check of a field; types without one of ours use pydantic."""
+    check = _CHECKS.get(annotation)
+    return check or pydantic.TypeAdapter(annotation).validate_python
+
+
 class _Kind:
+    """Fields of one message type, with the check of each."""
+
     def __init__(self, message_type: type) -> None:
+        hints = typing.get_type_hints(message_type)
+        fields = [f.name for f in dataclasses.fields(message_type)]
         self.name = message_type.__name__
-        self.fields = [f.name for f in dataclasses.fields(message_type)]
-        self.adapter = pydantic.TypeAdapter(message_type)
-        getter = operator.attrgetter(*self.fields) if self.fields else None
-        self.single = len(self.fields) == 1
-        self.getter = getter
+        self.make = message_type
+        self.checks = [_check_of(hints[name]) for name in fields]
+        self._getter = operator.attrgetter(*fields) if fields else None
+        self._single = len(fields) == 1
 
     def values(self, message: messages.Message) -> list:
-        if self.getter is None:
+        if self._getter is None:
             return []
-        found = self.getter(message)
-        return [found] if self.single else list(found)
+        found = self._getter(message)
+        return [found] if self._single else list(found)
 
 
 _BY_TYPE = {t: _Kind(t) for t in typing.get_args(messages.Message)}
 _BY_NAME = {kind.name: kind for kind in _BY_TYPE.values()}
 
 
+@functools.singledispatch
+def _default(value: object) -> object:
+    return dataclasses.asdict(value)
+
+
+@_default.register
+def _(value: body.Stream) -> object:
+    length = value.length.to_bytes(LENGTH_BYTES, "big", signed=True)
+    return msgpack.ExtType(STREAM_EXTENSION, length)
+
+
+def _extension(code: int, data: bytes) -> object:
+    if code != STREAM_EXTENSION or len(data) != LENGTH_BYTES:
+        raise ValueError("not a known extension")
+    return peer_body.Incoming(int.from_bytes(data, "big", signed=True))
+
+
 def encode(frame: Frame) -> bytes:
     """Returns the bytes of a frame."""
     kind = _BY_TYPE[type(frame.message)]
     parts = [frame.call, frame.is_answer, frame.stamp, kind.name]
     parts += kind.values(frame.message)
-    return msgpack.packb(parts, default=dataclasses.asdict)
+    return msgpack.packb(parts, default=_default)
 
 
 class Decoder:
-    """Turns received bytes into frames."""
+    """Turns received bytes into frames.
+
+    Only a small greeting is accepted until open() is called, so that a
+    stranger cannot make the daemon hold much.
+    """
 
     def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(
-            max_buffer_size=MAX_FRAME_BYTES, raw=False
-        )
+        self._unpacker = _unpacker(MAX_FRAME_BYTES, MAX_ITEMS)
+        self._greeting = bytearray()
+        self._open = False
+
+    def open(self) -> None:
+        """Accepts all frames from now on."""
+        self._open = True
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yields the frames completed by more bytes.
@@ -71,6 +153,8 @@
             errors.PeerProtocolError: The bytes are not our protocol.
         """
         try:
+            if not self._open:
+                data = yield from self._feed_greeting(data)
             self._unpacker.feed(data)
             for parts in self._unpacker:
                 yield _frame(parts)
@@ -80,16 +164,44 @@
                 remedy="check that both sides run compatible versions",
             ) from error
 
+    def _feed_greeting(self, data: bytes) -> Iterator[Frame]:
+        """Yields the first frame; returns the bytes that follow it."""
+        self._greeting += data
+        unpacker = _unpacker(MAX_HELLO_BYTES, MAX_HELLO_ITEMS)
+        unpacker.feed(self._greeting[:MAX_HELLO_BYTES])
+        try:
+            parts = unpacker.unpack()
+        except msgpack.OutOfData:
+            if len(self._greeting) >= MAX_HELLO_BYTES:
+                raise ValueError("the greeting is too long") from None
+            return b""
+        yield _frame(parts)
+        if not self._open:
+            raise ValueError("the greeting was not accepted")
+        return bytes(self._greeting[unpacker.tell() :])
+
+
+def _unpacker(max_bytes: int, max_items: int) -> msgpack.Unpacker:
+    return msgpack.Unpacker(
+        max_buffer_size=max_bytes,
+        max_array_len=max_items,
+        max_map_len=max_items,
+        max_ext_len=LENGTH_BYTES,
+        raw=False,
+        use_list=False,
+        ext_hook=_extension,
+    )
+
 
 def _frame(parts: object) -> Frame:
-    if not isinstance(parts, list) or len(parts) < 4:
+    if type(parts) is not tuple or len(parts) < 4:
         raise ValueError("not a frame")
     call, is_answer, stamp, name, *values = parts
-    kind = _BY_NAME.get(name) if isinstance(name, str) else None
-    typed = (type(call), type(is_answer), type(stamp)) == (int, bool, int)
-    if kind is None or not typed:
+    kind = _BY_NAME.get(name) if type(name) is str else None
+    typed = type(call) is int and type(is_answer) is bool
+    if kind is None or not typed or type(stamp) is not int:
         raise ValueError("not a known message")
-    if len(values) != len(kind.fields):
+    if len(values) != len(kind.checks):
         raise ValueError(f"{name} has {len(values)} fields")
-    named = dict(zip(kind.fields, values, strict=True))
-    return Frame(call, is_answer, stamp, kind.adapter.validate_python(named))
+    checked = [check(v) for check, v in zip(kind.checks, values, strict=True)]
+    return Frame(call, is_answer, stamp, kind.make(*checked))
--- /dev/null
+++ b/primrosecross/adapters/peer_connection.py
@@ -0,0 +1,479 @@
+"""One connection to another daemon: msgpack frames over TCP.
+
+One task reads; a second one gathers what is ready into one send, in which
+streamed bodies take turns piece by piece.
+"""
+
+import collections
+import dataclasses
+import functools
+import logging
+import socket
+import types
+
+import gevent
+from gevent import event as gevent_event
+from gevent import socket as gevent_socket
+
+from primrosecross.adapters import peer_body
+from primrosecross.adapters import peer_codec
+from primrosecross.domain import body
+from primrosecross.domain import errors
+from primrosecross.domain import messages
+from primrosecross.domain import stamp
+from primrosecross.ports import peers as peers_port
+
+PROTOCOL = 2
+PING_AFTER_S = 0.4
+MISSED_PINGS = 3
+IDLE_PERIODS = 75
+RECEIVE_BYTES = 256 * 1024
+SEND_BYTES = 128 * 1024
+MAX_ANSWERING = 2048
+MAX_STREAMS = 64
+MAX_QUEUED = 8192
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Bytes over all peer connections of this daemon."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+class _Call:
+    """A message sent and the answer awaited.
+
+    Attributes:
+        sent: Whether any byte of it may have left.
+        abandoned: Whether the writer must skip it.
+    """
+
+    __slots__ = ("abandoned", "answer", "outgoing", "sent")
+
+    def __init__(self) -> None:
+        self.sent = False
+        self.abandoned = False
+        self.answer = gevent_event.AsyncResult()
+        self.outgoing: peer_body.Outgoing | None = None
+
+    def fail(self) -> None:
+        kind = errors.PeerLostError if self.sent else errors.PeerUnsentError
+        self.answer.set_exception(
+            kind(
+                "the connection ended before the answer",
+                remedy="check the peer and the network to it",
+            )
+        )
+
+
+class Connection:
+    """One connection to another daemon.
+
+    Args:
+        sock: Connected socket.
+        hello: What this side says of itself.
+        handler: Answers messages from the other side.
+        stamps: Stamps sent and received messages.
+        counts: Counts what went wrong, by name.
+        traffic: Counts bytes over all connections.
+        accepted: Whether the other side opened it.
+    """
+
+    def __init__(
+        self,
+        *,
+        sock: gevent_socket.socket,
+        hello: messages.Hello,
+        handler: peers_port.Handler,
+        stamps: stamp.StampClock,
+        counts: collections.Counter[str],
+        traffic: Traffic,
+        accepted: bool = False,
+    ) -> None:
+        self._accepted = accepted
+        self._traffic = traffic
+        self._sock = sock
+        self._hello = hello
+        self._handler = handler
+        self._stamps = stamps
+        self._counts = counts
+        self._decoder = peer_codec.Decoder()
+        self._pending: list[tuple[bytes, _Call | None]] = []
+        self._turns: collections.deque[tuple[int, bool, peer_body.Outgoing]] = (
+            collections.deque()
+        )
+        self._ready = gevent_event.Event()
+        self._calls: dict[int, _Call] = {}
+        self._answering: dict[int, gevent.Greenlet] = {}
+        self._incoming: dict[tuple[int, bool], peer_body.Incoming] = {}
+        self._outgoing: dict[tuple[int, bool], peer_body.Outgoing] = {}
+        self._last_call = 0
+        self._idle_periods = 0
+        self.closed = False
+        self.silent = False
+        self.calls_lost = 0
+        self.greeted = gevent_event.Event()
+        self.other: messages.Hello | None = None
+        self._receive = self._table()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(PING_AFTER_S)
+
+    def _table(self) -> functools.singledispatch:
+        receive = functools.singledispatch(self._receive_message)
+        receive.register(messages.Ping, self._receive_ping)
+        receive.register(messages.Cancel, self._receive_cancel)
+        receive.register(messages.StreamPiece, self._receive_piece)
+        receive.register(messages.StreamEnd, self._receive_end)
+        receive.register(messages.StreamCredit, self._receive_credit)
+        receive.register(messages.StreamStop, self._receive_stop)
+        return receive
+
+    @property
+    def lane(self) -> str:
+        """What the connection carries, as the side that opened it said."""
+        theirs = self.other.lane if self.other else ""
+        return theirs if self._accepted else self._hello.lane
+
+    def run(self) -> None:
+        """Greets and reads until the connection ends."""
+        writer = gevent.spawn(self._write)
+        try:
+            self._post(0, self._hello, is_answer=False)
+            self._read()
+        except (OSError, errors.PeerError) as error:
+            _logger.info("peer connection ended: %s", error)
+        finally:
+            self._close()
+            writer.kill(block=False)
+
+    def _read(self) -> None:
+        """Reads frames; pings when nothing came for a while."""
+        missed = 0
+        while missed <= MISSED_PINGS:
+            try:
+                data = self._sock.recv(RECEIVE_BYTES)
+            except TimeoutError:
+                missed += 1
+                if self._is_idle():
+                    return
+                self._post(0, messages.Ping(), is_answer=False)
+                continue
+            if not data:
+                return
+            missed = 0
+            self._traffic.received_bytes += len(data)
+            for frame in self._decoder.feed(data):
+                self._take(frame)
+        self.silent = True
+        raise errors.PeerLostError(
+            f"nothing came for {missed * PING_AFTER_S:.1f} s",
+            remedy="none is needed; a new connection is opened on demand",
+        )
+
+    def _is_idle(self) -> bool:
+        """Counts periods without a call; tells whether to end."""
+        if self._calls or self._answering or self.other is None:
+            self._idle_periods = 0
+        self._idle_periods += 1
+        return self._idle_periods > IDLE_PERIODS
+
+    def _take(self, frame: peer_codec.Frame) -> None:
+        self._stamps.observe(frame.stamp)
+        if self.other is None:
+            self._greet(frame.message)
+        else:
+            self._receive(frame.message, frame)
+
+    def _greet(self, message: messages.Message) -> None:
+        mine = self._hello
+        if not isinstance(message, messages.Hello):
+            raise errors.PeerProtocolError(
+                "the first message was no greeting",
+                remedy="connect only daemons to the peer port",
+            )
+        if (message.protocol, message.cluster) != (PROTOCOL, mine.cluster):
+            raise errors.PeerProtocolError(
+                f"peer {message.vm} of cluster {message.cluster} speaks "
+                f"protocol {message.protocol}",
+                remedy=f"use protocol {PROTOCOL} and cluster {mine.cluster}",
+            )
+        self.other = message
+        self._decoder.open()
+        self.greeted.set()
+
+    def _receive_message(
+        self, message: messages.Message, frame: peer_codec.Frame
+    ) -> None:
+        self._idle_periods = 0
+        if frame.is_answer:
+            self._take_answer(frame)
+        elif len(self._answering) >= MAX_ANSWERING:
+            self._counts["calls_refused"] += 1
+            refusal = messages.refusal_of(message)
+            self._post(frame.call, refusal, is_answer=True)
+        else:
+            self._bind(frame)
+            task = gevent.spawn(self._answer, frame)
+            self._answering[frame.call] = task
+
+    def _take_answer(self, frame: peer_codec.Frame) -> None:
+        call = self._calls.pop(frame.call, None)
+        if call is None:
+            self._counts["answers_late"] += 1
+            if isinstance(messages.body_of(frame.message), body.Stream):
+                stop = messages.StreamStop()
+                self._post(frame.call, stop, is_answer=True)
+            return
+        self._bind(frame)
+        call.answer.set(frame.message)
+
+    def _bind(self, frame: peer_codec.Frame) -> None:
+        """Connects a message's streamed body to the frames that carry it."""
+        stream = messages.body_of(frame.message)
+        if not isinstance(stream, peer_body.Incoming):
+            return
+        key = (frame.call, frame.is_answer)
+        if len(self._incoming) >= MAX_STREAMS:
+            self._counts["streams_refused"] += 1
+            stream.cut(f"more than {MAX_STREAMS} bodies at once")
+            self._post(frame.call, messages.StreamStop(), is_answer=key[1])
+            return
+        stream.bind(
+            functools.partial(self._post, frame.call, is_answer=frame.is_answer)
+        )
+        self._incoming[key] = stream
+        stream.call_when_done(lambda: self._incoming.pop(key, None))
+
+    def _receive_ping(self, _: messages.Ping, frame: peer_codec.Frame) -> None:
+        self._post(frame.call, messages.Done(), is_answer=True)
+
+    def _receive_cancel(
+        self, _: messages.Cancel, frame: peer_codec.Frame
+    ) -> None:
+        task = self._answering.get(frame.call)
+        if task is not None:
+            self._counts["calls_cancelled"] += 1
+            task.kill(block=False)
+
+    def _receive_piece(
+        self, message: messages.StreamPiece, frame: peer_codec.Frame
+    ) -> None:
+        stream = self._incoming.get((frame.call, frame.is_answer))
+        if stream is not None:
+            stream.feed(message.data)
+
+    def _receive_end(
+        self, message: messages.StreamEnd, frame: peer_codec.Frame
+    ) -> None:
+        stream = self._incoming.get((frame.call, frame.is_answer))
+        if stream is not None:
+            stream.end(message)
+
+    def _receive_credit(
+        self, message: messages.StreamCredit, frame: peer_codec.Frame
+    ) -> None:
+        outgoing = self._outgoing.get((frame.call, frame.is_answer))
+        if outgoing is not None:
+            outgoing.grant(message.bytes)
+
+    def _receive_stop(
+        self, _: messages.StreamStop, frame: peer_codec.Frame
+    ) -> None:
+        outgoing = self._outgoing.get((frame.call, frame.is_answer))
+        if outgoing is not None:
+            outgoing.stop()
+
+    def _answer(self, frame: peer_codec.Frame) -> None:
+        """Answers one message, with a streamed body piece by piece."""
+        try:
+            answer = self._handler(frame.message)
+            self._post(frame.call, answer, is_answer=True)
+            stream = messages.body_of(answer)
+            if isinstance(stream, body.Stream):
+                self._make_outgoing(frame.call, True, stream).run()
+        finally:
+            self._answering.pop(frame.call, None)
+            self._outgoing.pop((frame.call, True), None)
+            body.close(messages.body_of(frame.message))
+
+    def _make_outgoing(
+        self, call: int, is_answer: bool, source: body.Stream
+    ) -> peer_body.Outgoing:
+        def offer(offering: peer_body.Outgoing) -> None:
+            self._turns.append((call, is_answer, offering))
+            self._ready.set()
+
+        outgoing = peer_body.Outgoing(source=source, offer=offer)
+        self._outgoing[call, is_answer] = outgoing
+        if self.closed:
+            outgoing.stop()
+        return outgoing
+
+    def _post(
+        self,
+        call: int,
+        message: messages.Message,
+        *,
+        is_answer: bool,
+        waiting: _Call | None = None,
+    ) -> None:
+        if not self.closed:
+            data = self._encode(call, is_answer, message)
+            self._pending.append((data, waiting))
+            self._ready.set()
+
+    def _encode(
+        self, call: int, is_answer: bool, message: messages.Message
+    ) -> bytes:
+        return peer_codec.encode(
+            peer_codec.Frame(call, is_answer, self._stamps.now(), message)
+        )
+
+    def _write(self) -> None:
+        try:
+            while True:
+                self._ready.wait()
+                self._ready.clear()
+                while batch := self._gather():
+                    self._send(batch)
+        except OSError:
+            self._close()
+
+    def _gather(self) -> list[bytes]:
+        """Returns all short frames and a piece of each stream in turn."""
+        batch = []
+        size = 0
+        pending, self._pending = self._pending, []
+        for data, call in pending:
+            if call is not None:
+                if call.abandoned:
+                    continue
+                call.sent = True
+            batch.append(data)
+        for _ in range(len(self._turns)):
+            if size >= SEND_BYTES:
+                break
+            number, is_answer, outgoing = self._turns.popleft()
+            message = outgoing.take()
+            if message is not None:
+                batch.append(self._encode(number, is_answer, message))
+                size += peer_body.PIECE_BYTES
+        return batch
+
+    def _send(self, batch: list[bytes]) -> None:
+        view = memoryview(b"".join(batch))
+        self._traffic.sent_bytes += len(view)
+        while view:
+            view = view[self._sock.send(view, 0, None) :]
+
+    def call(
+        self, message: messages.Message, *, timeout_ms: int
+    ) -> messages.Message:
+        """Sends a message and waits for its answer.
+
+        The other side is told when the answer is no longer waited for.
+
+        Raises:
+            errors.PeerUnsentError: No byte of the message has left.
+            errors.PeerLostError: No answer came in time.
+        """
+        if self.closed or len(self._pending) >= MAX_QUEUED:
+            raise errors.PeerUnsentError(
+                "the connection has ended or is not read from",
+                remedy="retry on another one",
+            )
+        self._last_call += 1
+        number = self._last_call
+        call = _Call()
+        self._calls[number] = call
+        self._post(number, message, is_answer=False, waiting=call)
+        try:
+            with self._sending_body(number, message):
+                return call.answer.get(timeout=timeout_ms / 1000)
+        except gevent.Timeout as error:
+            raise _late(call, timeout_ms) from error
+        finally:
+            if self._calls.pop(number, None) is not None:
+                call.abandoned = True
+                if call.sent:
+                    self._post(number, messages.Cancel(), is_answer=False)
+
+    def _sending_body(
+        self, number: int, message: messages.Message
+    ) -> "_BodyTask | _NoBody":
+        stream = messages.body_of(message)
+        if not isinstance(stream, body.Stream):
+            return _NO_BODY
+        outgoing = self._make_outgoing(number, False, stream)
+        return _BodyTask(outgoing, self._outgoing, (number, False))
+
+    def _close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self._sock.close()
+        calls, self._calls = self._calls, {}
+        self.calls_lost = len(calls)
+        for call in calls.values():
+            call.fail()
+        for stream in list(self._incoming.values()):
+            stream.cut("the connection ended")
+        for outgoing in list(self._outgoing.values()):
+            outgoing.stop()
+        for task in list(self._answering.values()):
+            task.kill(block=False)
+        self.greeted.set()
+
+    def close(self) -> None:
+        """Ends the connection; calls in flight fail."""
+        self._close()
+
+
+class _NoBody:
+    def __enter__(self) -> None:
+        return
+
+    def __exit__(self, *_: object) -> None:
+        return
+
+
+_NO_BODY = _NoBody()
+
+
+class _BodyTask:
+    """Sends a call's body while its answer is awaited."""
+
+    def __init__(
+        self,
+        outgoing: peer_body.Outgoing,
+        registered: dict[tuple[int, bool], peer_body.Outgoing],
+        key: tuple[int, bool],
+    ) -> None:
+        self._outgoing = outgoing
+        self._registered = registered
+        self._key = key
+
+    def __enter__(self) -> None:
+        self._task = self._outgoing.start()
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._outgoing.stop()
+        self._task.kill()
+        self._registered.pop(self._key, None)
+
+
+def _late(call: _Call, timeout_ms: int) -> errors.PeerError:
+    kind = errors.PeerLostError if call.sent else errors.PeerUnsentError
+    return kind(
+        f"no answer within {timeout_ms} ms",
+        remedy="check the peer and the network to it",
+    )
--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -68,9 +68,11 @@
                 cluster=settings.cluster,
                 vm=settings.vm,
                 incarnation=identity.incarnation,
+                lane=messages.Lane.CONTROL,
             ),
             listen=_pair(settings.peer),
             stamps=stamps,
+            record=self.timeline.record,
         )
         ports = node_module.Ports(
             clock=clock,
--- /dev/null
+++ b/primrosecross/domain/body.py
@@ -0,0 +1,103 @@
+"""Bodies of requests and answers: held whole, or streamed in pieces."""
+
+import abc
+import functools
+from collections.abc import Callable
+from collections.abc import Iterator
+
+UNKNOWN_LENGTH = -1
+
+
+class Stream(abc.ABC):
+    """A body that is read piece by piece and never held whole.
+
+    A stream ends in one of three ways, each of which calls the done
+    callbacks once: it was read to its verified end, it was cut, or its reader
+    closed it.
+
+    Args:
+        length: Bytes in all, or UNKNOWN_LENGTH.
+    """
+
+    def __init__(self, length: int) -> None:
+        self.length = length
+        self.finished = False
+        self._callbacks: list[Callable[[], None]] = []
+
+    def __len__(self) -> int:
+        """Returns the declared length, 0 if unknown."""
+        return max(0, self.length)
+
+    def __bool__(self) -> bool:
+        """Returns true, as a stream is a body even when its length is 0."""
+        return True
+
+    @abc.abstractmethod
+    def read(self) -> bytes:
+        """Returns the next piece, or no bytes at the verified end.
+
+        Raises:
+            errors.BodyError: The body was cut short or corrupted.
+        """
+
+    def close(self) -> None:
+        """Gives up what has not been read."""
+        self.finish()
+
+    def finish(self) -> None:
+        """Marks the stream as over and calls the done callbacks."""
+        if self.finished:
+            return
+        self.finished = True
+        callbacks, self._callbacks = self._callbacks, []
+        for callback in callbacks:
+            callback()
+
+    def call_when_done(self, callback: Callable[[], None]) -> None:
+        """Calls a function once the stream is over; it must not block."""
+        if self.finished:
+            callback()
+        else:
+            self._callbacks.append(callback)
+
+
+Body = bytes | Stream
+
+
+@functools.singledispatch
+def pieces(source: Body) -> Iterator[bytes]:
+    """Yields a body in pieces."""
+    raise TypeError(f"{type(source).__name__} is not a body")
+
+
+@pieces.register
+def _(source: bytes) -> Iterator[bytes]:
+    if source:
+        yield source
+
+
+@pieces.register
+def _(source: Stream) -> Iterator[bytes]:
+    while piece := source.read():
+        yield piece
+
+
+@functools.singledispatch
+def close(source: Body) -> None:
+    """Gives up what has not been read of a body."""
+
+
+@close.register
+def _(source: Stream) -> None:
+    source.close()
+
+
+@functools.singledispatch
+def call_when_done(source: Body, callback: Callable[[], None]) -> None:
+    """Calls a function once a body needs its origin no more."""
+    callback()
+
+
+@call_when_done.register
+def _(source: Stream, callback: Callable[[], None]) -> None:
+    source.call_when_done(callback)
--- a/primrosecross/domain/errors.py
+++ b/primrosecross/domain/errors.py
@@ -75,6 +75,10 @@
     """The other side sent something that is not our protocol."""
 
 
+class BodyError(RouterError):
+    """A body did not arrive whole."""
+
+
 class TargetUnsentError(RouterError):
     """The request never reached the target."""
 
--- a/primrosecross/domain/events.py
+++ b/primrosecross/domain/events.py
@@ -84,6 +84,35 @@
     outage_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionGivenUp:
+    """A connection to another daemon fell silent and was closed."""
+
+    vm: str
+    lane: str
+    calls_lost: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainStarted:
+    """This daemon was told to stop and takes no new work."""
+
+    in_flight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainEnded:
+    """This daemon stops.
+
+    Attributes:
+        cut: Requests still in flight, which are cut.
+        reason: Why it waited no longer.
+    """
+
+    cut: int
+    reason: str
+
+
 Event = (
     LeaseGained
     | LeaseLost
@@ -95,6 +124,9 @@
     | CoordinatorElected
     | StoreOutage
     | StoreReturned
+    | ConnectionGivenUp
+    | DrainStarted
+    | DrainEnded
 )
 
 
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -4,16 +4,32 @@
 """
 
 import dataclasses
+import enum
+import functools
+
+from primrosecross.domain import body as body_module
+
+
+class Lane(enum.StrEnum):
+    """What a connection carries; control never waits behind requests."""
+
+    CONTROL = "control"
+    REQUESTS = "requests"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello:
-    """First message on each connection, in both directions."""
+    """First message on each connection, in both directions.
+
+    Attributes:
+        lane: What the connection carries; the answering side repeats it.
+    """
 
     protocol: int
     cluster: str
     vm: str
     incarnation: str
+    lane: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +45,50 @@
     """Answer without content."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks whether the connection still works; answered by Done."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Ends the work on a call whose answer nobody waits for any more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamPiece:
+    """The next bytes of a streamed body."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamEnd:
+    """End of a streamed body.
+
+    Attributes:
+        length: Bytes sent in all.
+        checksum: XXH3-64 of them.
+        problem: Why the body is cut short; empty when it is whole.
+    """
+
+    length: int
+    checksum: int
+    problem: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamCredit:
+    """Lets the sender of a streamed body send more bytes."""
+
+    bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamStop:
+    """Tells the sender of a streamed body that nobody reads it any more."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Asks a witness to keep the sender's lease; answered by HeartbeatAck."""
@@ -186,7 +246,7 @@
     method: str
     path: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: body_module.Body
     idempotent: bool
     generation: int
     timeout_ms: int
@@ -198,7 +258,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: body_module.Body
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,6 +282,12 @@
     Hello
     | Failure
     | Done
+    | Ping
+    | Cancel
+    | StreamPiece
+    | StreamEnd
+    | StreamCredit
+    | StreamStop
     | Heartbeat
     | HeartbeatAck
     | Refuse
@@ -240,3 +306,41 @@
     | ForwardNotRun
     | ForwardUnknown
 )
+
+
+@functools.singledispatch
+def lane_of(message: object) -> Lane:
+    """Returns the lane on which a message travels."""
+    return Lane.CONTROL
+
+
+@lane_of.register
+def _(_: Forward) -> Lane:
+    return Lane.REQUESTS
+
+
+@functools.singledispatch
+def body_of(message: object) -> body_module.Body:
+    """Returns the body that a message carries, empty for most."""
+    return b""
+
+
+@body_of.register
+def _(message: Forward) -> body_module.Body:
+    return message.body
+
+
+@body_of.register
+def _(message: ForwardAnswered) -> body_module.Body:
+    return message.body
+
+
+@functools.singledispatch
+def refusal_of(message: object) -> Message:
+    """Returns the answer to a message that will not be looked at."""
+    return Failure("too many calls at once", "send fewer, or later")
+
+
+@refusal_of.register
+def _(_: Forward) -> Message:
+    return ForwardNotRun("overloaded", "too many calls at once", 100)
--- a/primrosecross/domain/outcome.py
+++ b/primrosecross/domain/outcome.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from primrosecross.domain import body as body_module
+
 
 class Reason(enum.StrEnum):
     """Why a request was not answered."""
@@ -30,7 +32,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: body_module.Body
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/domain/request.py
+++ b/primrosecross/domain/request.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from primrosecross.domain import body as body_module
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
@@ -15,7 +17,7 @@
         method: Method in upper case.
         path: Path and query below the service, as sent to the target.
         headers: Headers passed through to the target.
-        body: The whole body.
+        body: The body, held whole or streamed.
         idempotent: Whether running it twice is harmless.
         deadline_ns: Time on the local boot clock after which an answer is
             useless to the caller.
@@ -27,6 +29,6 @@
     method: str
     path: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: body_module.Body
     idempotent: bool
     deadline_ns: int
--- /dev/null
+++ b/tests/test_transport_peers.py
@@ -0,0 +1,247 @@
+"""Connections between daemons, on loopback within one process."""
+
+import contextlib
+import time
+import unittest
+
+import gevent
+from gevent import server as gevent_server
+from gevent import socket as gevent_socket
+
+from primrosecross.adapters import boot_clock
+from primrosecross.adapters import peer_streams
+from primrosecross.domain import body
+from primrosecross.domain import errors
+from primrosecross.domain import messages
+from primrosecross.domain import stamp
+
+GIVEN_UP_S = 2.0
+
+
+def peer_port(first: int) -> int:
+    """Returns the first free port from a test's own number on."""
+    for port in range(first, first + 50):
+        try:
+            gevent_socket.create_connection(("127.0.0.1", port), 0.2).close()
+        except OSError:
+            return port
+    raise OSError("no free port")
+
+
+def make_peer(vm: str, port: int, recorded: list) -> peer_streams.PeerStreams:
+    """Returns a listening peer."""
+    hello = messages.Hello(peer_streams.PROTOCOL, "test", vm, vm, "control")
+    peer = peer_streams.PeerStreams(
+        hello=hello,
+        listen=("127.0.0.1", port),
+        stamps=stamp.StampClock(clock=boot_clock.BootClock()),
+        record=recorded.append,
+    )
+    peer.start()
+    return peer
+
+
+def make_forward(
+    path: str, content: body.Body = b"", timeout_ms: int = 5000
+) -> messages.Forward:
+    """Returns a request for a handler of these tests."""
+    return messages.Forward(
+        "id", "s", "k", "POST", path, (), content, False, 1, timeout_ms
+    )
+
+
+class Relay:
+    """Passes bytes on until told to go silent without closing."""
+
+    def __init__(self, port: int, target_port: int) -> None:
+        self.silent = 0
+        self._target_port = target_port
+        self._accepted: list = []
+        self._server = gevent_server.StreamServer(
+            ("127.0.0.1", port), self._accept
+        )
+        self._server.start()
+
+    def _accept(self, sock, _) -> None:
+        other = gevent_socket.create_connection(
+            ("127.0.0.1", self._target_port)
+        )
+        self._accepted.append((sock, other))
+        number = len(self._accepted)
+        tasks = [
+            gevent.spawn(self._copy, a, b, number)
+            for a, b in ((sock, other), (other, sock))
+        ]
+        gevent.joinall(tasks)
+
+    def _copy(self, source, sink, number: int) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                if number > self.silent:
+                    sink.sendall(data)
+
+    def go_silent(self) -> None:
+        """Stops forwarding on all present connections."""
+        self.silent = len(self._accepted)
+
+    def stop(self) -> None:
+        """Ends all connections."""
+        self._server.close()
+        for pair in self._accepted:
+            for sock in pair:
+                sock.close()
+
+
+class PeerTest(unittest.TestCase):
+    """Two peers; the first sends, the second handles."""
+
+    def setUp(self) -> None:
+        self.recorded: list = []
+        port = peer_port(28500)
+        self.right_port = port
+        self.right = make_peer("right", port, [])
+        self.left = make_peer("left", peer_port(port + 1), self.recorded)
+        self.left.learn_address("right", f"127.0.0.1:{port}")
+        self.right.handler = self.handle
+        self.handled: list[str] = []
+        self.ended: list[str] = []
+        self.addCleanup(self.left.stop)
+        self.addCleanup(self.right.stop)
+
+    def handle(self, message):
+        if not isinstance(message, messages.Forward):
+            return messages.Done()
+        self.handled.append(message.path)
+        try:
+            delay_ms = int(message.path.rpartition("/")[2] or 0)
+            gevent.sleep(delay_ms / 1000)
+            content = b"".join(body.pieces(message.body))
+            return messages.ForwardAnswered(200, (), content)
+        finally:
+            self.ended.append(message.path)
+
+    def call(self, path: str, content: body.Body = b"", timeout_ms=5000):
+        message = make_forward(path, content, timeout_ms)
+        return self.left.call("right", message, timeout_ms=timeout_ms)
+
+
+class SilentConnectionTest(PeerTest):
+    """Connections that stop passing bytes without closing."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        port = peer_port(self.right_port + 2)
+        self.relay = Relay(port, self.right_port)
+        self.addCleanup(self.relay.stop)
+        self.left.learn_address("right", f"127.0.0.1:{port}")
+
+    def test_silent_connection_is_given_up_and_replaced(self):
+        self.call("/0")
+        self.relay.go_silent()
+        started = time.monotonic()
+        with self.assertRaises(errors.PeerLostError):
+            self.call("/1", timeout_ms=10_000)
+        self.assertLess(time.monotonic() - started, GIVEN_UP_S)
+        self.assertIsInstance(self.call("/2"), messages.ForwardAnswered)
+        self.assertNotIn("/1", self.handled)
+        kinds = [(e.vm, e.lane, e.calls_lost) for e in self.recorded]
+        self.assertIn(("right", "requests", 1), kinds)
+
+    def test_idle_working_connection_is_kept(self):
+        self.call("/0")
+        gevent.sleep(1.5 * GIVEN_UP_S)
+        self.call("/1")
+        self.assertEqual(len(self.relay._accepted), 1)
+
+    def test_unsent_message_is_proved_unsent(self):
+        self.call("/0")
+        self.relay.go_silent()
+        link = self.left._links["right", messages.Lane.REQUESTS]
+        link.connection._send = lambda batch: gevent.sleep(10)
+        first = gevent.spawn(self.call, "/1", timeout_ms=10_000)
+        gevent.sleep(0.1)
+        with self.assertRaises(errors.PeerUnsentError):
+            self.call("/2", timeout_ms=10_000)
+        with self.assertRaises(errors.PeerLostError):
+            first.get()
+
+    def test_control_is_not_behind_a_silent_request_lane(self):
+        self.call("/0")
+        self.relay.go_silent()
+        lost = gevent.spawn(self.call, "/1", timeout_ms=10_000)
+        self.assertEqual(
+            self.left.call("right", messages.FetchState(0, 0), timeout_ms=500),
+            messages.Done(),
+        )
+        lost.join()
+
+
+class CallTest(PeerTest):
+    """Calls that end early or meet no peer."""
+
+    def test_late_answer_reaches_no_other_call(self):
+        with self.assertRaises(errors.PeerLostError):
+            self.call("/150", b"late", timeout_ms=50)
+        answer = self.call("/0", b"mine")
+        gevent.sleep(0.2)
+        self.assertEqual(answer.body, b"mine")
+
+    def test_duplicate_answers_are_dropped_and_counted(self):
+        self.call("/0")
+        accepted = next(iter(self.right._accepted))
+        accepted._post(1, messages.Done(), is_answer=True)
+        accepted._post(99, messages.Done(), is_answer=True)
+        self.assertEqual(self.call("/0", b"mine").body, b"mine")
+        self.assertEqual(self.left.counts["answers_late"], 2)
+
+    def test_cancelled_call_ends_the_work(self):
+        task = gevent.spawn(self.call, "/5000", timeout_ms=10_000)
+        gevent.sleep(0.1)
+        task.kill()
+        gevent.sleep(0.1)
+        self.assertEqual(self.ended, ["/5000"])
+
+    def test_unknown_or_dead_peer_fails_fast_without_piling_up(self):
+        self.left.learn_address("dead", "127.0.0.1:1")
+        started = time.monotonic()
+        tasks = [
+            gevent.spawn(self.left.call, vm, messages.Ping(), timeout_ms=30_000)
+            for vm in ("dead", "stranger")
+            for _ in range(200)
+        ]
+        gevent.joinall(tasks, timeout=5)
+        self.assertLess(time.monotonic() - started, 1.5)
+        for task in tasks:
+            self.assertIsInstance(task.exception, errors.PeerUnsentError)
+
+    def test_both_directions_at_once(self):
+        self.right.learn_address("left", f"127.0.0.1:{self.left_port()}")
+        self.left.handler = lambda message: messages.Done()
+        tasks = [gevent.spawn(self.call, "/0", b"x") for _ in range(20)]
+        tasks += [
+            gevent.spawn(
+                self.right.call, "left", messages.Ping(), timeout_ms=1000
+            )
+            for _ in range(20)
+        ]
+        gevent.joinall(tasks, raise_error=True)
+
+    def left_port(self) -> int:
+        return self.left._server.server_port
+
+    def test_stranger_is_refused_with_bounded_memory(self):
+        for garbage in (b"GET / HTTP/1.1\r\n\r\n", b"\xdd\xff\xff\xff\xff" * 9):
+            sock = gevent_socket.create_connection(
+                ("127.0.0.1", self.right_port), timeout=2
+            )
+            with self.assertLogs("primrosecross", "INFO") as logs:
+                sock.sendall(garbage)
+                while sock.recv(4096):
+                    pass
+                gevent.sleep(0.05)
+            self.assertEqual(len(logs.records), 1)
+            sock.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
