--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -8,7 +8,7 @@
 import grpc
 
 from primrosecross.adapters import operator_access
-from primrosecross.adapters import peer_streams
+from primrosecross.adapters import peer_connection
 from primrosecross.domain import collector as collector_module
 from primrosecross.domain import errors
 from primrosecross.domain import lease as lease_module
@@ -74,7 +74,7 @@
         state: state_module.State,
         lease: lease_module.Lease,
         store_calls: Callable[[], int],
-        traffic: peer_streams.Traffic,
+        traffic: peer_connection.Traffic,
         metrics: Callable[[], bytes],
     ) -> None:
         self._vm = vm
--- a/primrosecross/domain/events.py
+++ b/primrosecross/domain/events.py
@@ -142,17 +142,37 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectionGivenUp:
-    """A connection to another daemon ended or fell silent.
+    """A connection to another daemon fell silent and was closed.
 
     Attributes:
-        peer: VM of the other daemon.
-        problem: What was seen.
-        unanswered: Calls on it that were not answered.
+        vm: VM of the other daemon.
+        lane: What the connection carried.
+        calls_lost: Calls on it that were not answered.
     """
 
-    peer: str
-    problem: str
-    unanswered: int
+    vm: str
+    lane: str
+    calls_lost: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainStarted:
+    """This daemon was told to stop and takes no new work."""
+
+    in_flight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainEnded:
+    """This daemon stops.
+
+    Attributes:
+        cut: Requests still in flight, which are cut.
+        reason: Why it waited no longer.
+    """
+
+    cut: int
+    reason: str
 
 
 Event = (
@@ -171,6 +191,8 @@
     | StoreReturned
     | RefusalBurst
     | ConnectionGivenUp
+    | DrainStarted
+    | DrainEnded
 )
 
 
