--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/coordinator.py
@@ -276,6 +276,7 @@
                 incarnation=ack.incarnation,
                 silent_ms=ack.silent_ms,
                 sent_ns=sent_ns,
+                received_ns=self._clock.now_ns(),
             )
 
     def _ask_witness(
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -57,6 +57,7 @@
                 incarnation=str(self.incarnations[name]),
                 silent_ms=self.registers[name].refuse("vm", 5),
                 sent_ns=self.clock.now_ns(),
+                received_ns=self.clock.now_ns(),
             )
 
     def test_majority_keeps_the_lease(self):
