--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/coordinator.py
@@ -22,13 +22,14 @@
 from primrosecross.domain import events
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
+from primrosecross.domain import plan
 from primrosecross.domain import revocation
 from primrosecross.domain import state as state_module
+from primrosecross.domain import witness_sets
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 
-WITNESSES = 3
 REFUSE_TIMEOUT_MS = 400
 REFUSE_PAUSE_MS = 100
 BATCH_MS = 20
@@ -38,6 +39,14 @@
 _logger = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Taken:
+    """A message and the term of office in which it was taken in."""
+
+    term_number: int
+    message: object
+
+
 class Coordinator:
     """Decides while its daemon holds the office.
 
@@ -77,8 +86,10 @@
         self._timeline = timeline
         self._term_number = 0
         self._store_version = ""
-        self._inbox: list[object] = []
+        self._inbox: list[_Taken] = []
+        self._joins: dict[tuple[str, str], messages.Join] = {}
         self._suspicions: dict[tuple[str, int], dict[str, int]] = {}
+        self._witnesses_since: dict[str, int] = {}
         self._revoking: dict[str, gevent.Greenlet] = {}
         self._wake = gevent_event.Event()
         self._take = functools.singledispatch(self._take_unknown)
@@ -107,18 +118,31 @@
         )
 
     def _take_in(self, message: object) -> messages.Message:
-        self._inbox.append(message)
+        self._inbox.append(_Taken(self._election.term_number, message))
         self._wake.set()
         return messages.Done()
 
     def _take_join(self, join: messages.Join) -> messages.Message:
-        self._take_in(join)
+        self._joins[join.vm, join.incarnation] = join
+        self._wake.set()
+        try:
+            return self._wait_for_admission(join)
+        finally:
+            self._joins.pop((join.vm, join.incarnation), None)
+
+    def _wait_for_admission(self, join: messages.Join) -> messages.Message:
         until_ns = self._clock.now_ns() + JOIN_WAIT_MS * lease_module.NS_PER_MS
-        while self._clock.now_ns() < until_ns:
+        member = None
+        while self._clock.now_ns() < until_ns and self._election.in_office:
             member = self._state.assignment.members.get(join.vm)
             if decisions.is_admitted(join, member):
                 return messages.Done()
             self._clock.sleep(BATCH_MS)
+        if member is not None and member.incarnation != join.incarnation:
+            return messages.Failure(
+                f"another daemon named {join.vm} is a member",
+                "give each VM its own name, or stop the other daemon",
+            )
         return messages.Failure("admission takes long", "send Join again")
 
     def _take_suspect(self, suspect: messages.Suspect) -> messages.Message:
@@ -137,6 +161,9 @@
 
     def _take_confirm(self, confirm: messages.Confirm) -> messages.Message:
         self.confirmed[confirm.vm] = confirm
+        member = self._state.assignment.members.get(confirm.vm)
+        if member is None or not member.previous_witnesses:
+            return messages.Done()
         return self._take_in(confirm)
 
     def _list_confirmed(self, _: messages.ListConfirmed) -> messages.Message:
@@ -163,21 +190,33 @@
             self._enter_office()
         if not self._store_version:
             self._read_assignment()
-        inbox = list(self._inbox)
-        draft = decisions.Draft(self._state.assignment.copy())
+        inbox, self._inbox = self._inbox, []
+        try:
+            self._change([*self._of_this_term(inbox), *self._joins.values()])
+        except errors.StoreError:
+            self._inbox[:0] = inbox
+            raise
+        self._start_revocations()
+
+    def _of_this_term(self, inbox: list[_Taken]) -> list[object]:
+        """Drops what was taken in before another daemon was in office."""
+        return [t.message for t in inbox if t.term_number == self._term_number]
+
+    def _change(self, inbox: list[object]) -> None:
+        before = self._state.assignment
+        draft = decisions.Draft(before.copy(), dict(self._witnesses_since))
         draft.assignment.version += 1
         changed = sum(decisions.apply(message, draft) for message in inbox)
-        changed += self._maintain_witnesses(draft.assignment)
+        changed += witness_sets.maintain(draft.assignment)
         changed += self._assign(draft.assignment)
+        changed += decisions.renew_kept(before, draft.assignment)
         if changed:
             self._write(draft)
-        waiting = [m for m in inbox if self._still_waits(m)]
-        self._inbox[: len(inbox)] = waiting
-        self._start_revocations()
 
     def _enter_office(self) -> None:
         self._term_number = self._election.term_number
         self._store_version = ""
+        self._suspicions = {}
         self.confirmed = {}
 
     def _read_assignment(self) -> None:
@@ -193,47 +232,51 @@
             )
         self._state.offer_assignment(stored)
         self._store_version = version
+        self._witnesses_since = witness_sets.unconfirmed(stored, {})
 
     def _assign(self, draft: assignment.Assignment) -> int:
         return sum(
-            balance.assign_shards(service, draft, generation=draft.version)
+            balance.assign_shards(
+                self._with_partitions_kept(service, draft),
+                draft,
+                generation=draft.version,
+            )
             for service in self._state.plan.services.values()
             if service.keyed
         )
 
+    def _with_partitions_kept(
+        self, service: plan.Service, draft: assignment.Assignment
+    ) -> plan.Service:
+        """Returns the service with the partitions that owners hold now.
+
+        Other partitions would regroup the keys while their owners still serve
+        them by the earlier grouping.
+        """
+        table = draft.tables.get(service.name)
+        if table is None or table.partitions == service.partitions:
+            return service
+        _logger.warning(
+            "%s keeps its %d partitions, the plan's %d are ignored; "
+            "declare a new service to change their number",
+            service.name,
+            table.partitions,
+            service.partitions,
+        )
+        return dataclasses.replace(service, partitions=table.partitions)
+
     def _write(self, draft: decisions.Draft) -> None:
         stamp = self._timeline.stamp()
         self._store_version = self._archive.write_assignment(
             draft.assignment, self._store_version
         )
         self._state.offer_assignment(draft.assignment)
+        self._witnesses_since = witness_sets.unconfirmed(
+            draft.assignment, draft.witnesses_since
+        )
         for event in draft.recorded:
             self._timeline.record(event, stamp=stamp)
 
-    def _still_waits(self, message: object) -> bool:
-        if not isinstance(message, messages.Join):
-            return False
-        member = self._state.assignment.members.get(message.vm)
-        return not decisions.is_admitted(message, member)
-
-    def _maintain_witnesses(self, draft: assignment.Assignment) -> int:
-        changed = 0
-        for vm, member in list(draft.members.items()):
-            if member.previous_witnesses or (
-                member.state is assignment.MemberState.REVOKING
-            ):
-                continue
-            wanted = balance.choose_witnesses(
-                member, draft.members, count=WITNESSES
-            )
-            if not wanted or set(wanted) == set(member.witnesses):
-                continue
-            draft.members[vm] = dataclasses.replace(
-                member, witnesses=wanted, previous_witnesses=member.witnesses
-            )
-            changed += 1
-        return changed
-
     def _start_revocations(self) -> None:
         for member in self._state.assignment.members.values():
             task = self._revoking.get(member.vm)
--- a/primrosecross/domain/decisions.py
+++ b/primrosecross/domain/decisions.py
@@ -29,9 +29,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Draft:
-    """The next assignment and the events that led to it."""
+    """The next assignment and the events that led to it.
+
+    Attributes:
+        assignment: The next assignment.
+        witnesses_since: For members whose change of witnesses is not
+            confirmed, the version since which it has been in the store.
+        recorded: Events to record once it is written.
+    """
 
     assignment: assignment.Assignment
+    witnesses_since: dict[str, int] = dataclasses.field(default_factory=dict)
     recorded: list[events.Event] = dataclasses.field(default_factory=list)
 
 
@@ -73,7 +81,7 @@
     if present.incarnation == join.incarnation:
         members[join.vm] = dataclasses.replace(present, offers=offers_of(join))
         return 1
-    return _mark(draft, join.vm, assignment.MemberState.REVOKING)
+    return 0  # The earlier process goes first; it is suspected if it is dead.
 
 
 def _new_member(join: messages.Join, epoch: int) -> assignment.Member:
@@ -135,9 +143,12 @@
     if member is None or member.epoch != lapsed.epoch:
         return 0
     del draft.assignment.members[lapsed.vm]
+    draft.witnesses_since.pop(lapsed.vm, None)
     shards = 0
     for table in draft.assignment.tables.values():
-        shards += len(table.shards_of(lapsed.vm))
+        for shard in table.shards_of(lapsed.vm):
+            table.set_owner(shard, "", draft.assignment.version)
+            shards += 1
         for shard, receiver in list(table.moves.items()):
             if receiver == lapsed.vm:
                 del table.moves[shard]
@@ -152,14 +163,39 @@
     if table is None or member is None or member.epoch != release.epoch:
         return 0
     completed = 0
-    for shard in release.shards:
+    for shard, generation in zip(
+        release.shards, release.generations, strict=False
+    ):
         receiver = table.moves.get(shard)
-        if receiver and table.grant_of(shard).vm == release.vm:
+        released = assignment.Grant(release.vm, generation)
+        if receiver and table.grant_of(shard) == released:
             table.set_owner(shard, receiver, draft.assignment.version)
             completed += 1
     return completed
 
 
+def renew_kept(
+    before: assignment.Assignment, draft: assignment.Assignment
+) -> int:
+    """Gives a new generation to shards whose hand-over was called off.
+
+    Their owner serves them again, so a release that it sent before must not
+    be taken for one of a later hand-over.
+
+    Returns:
+        Number of shards given a new generation.
+    """
+    renewed = 0
+    for service, earlier in before.tables.items():
+        table = draft.tables.get(service)
+        for shard in earlier.moves if table else ():
+            grant = table.grant_of(shard)
+            if shard not in table.moves and grant == earlier.grant_of(shard):
+                table.set_owner(shard, grant.vm, draft.version)
+                renewed += 1
+    return renewed
+
+
 @apply.register
 def _(confirm: messages.Confirm, draft: Draft) -> int:
     member = draft.assignment.members.get(confirm.vm)
@@ -167,6 +203,10 @@
         return 0
     if not member.previous_witnesses or member.witnesses != confirm.witnesses:
         return 0
+    since = draft.witnesses_since.get(confirm.vm)
+    if since is None or confirm.assignment_version < since:
+        return 0  # It may have been sent before the last change.
+    del draft.witnesses_since[confirm.vm]
     draft.assignment.members[confirm.vm] = dataclasses.replace(
         member, previous_witnesses=()
     )
--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from primrosecross.domain import assignment
 from primrosecross.domain import attempts as attempts_module
 from primrosecross.domain import errors
 from primrosecross.domain import holders
@@ -155,13 +156,20 @@
                     and not self._in_flight[table.service, shard]
                 )
                 if idle:
-                    self._release(member.epoch, table.service, idle)
+                    self._release(member.epoch, table, idle)
 
     def _release(
-        self, epoch: int, service: str, shards: tuple[int, ...]
+        self,
+        epoch: int,
+        table: assignment.OwnerTable,
+        shards: tuple[int, ...],
     ) -> None:
         release = messages.Release(
-            vm=self._vm, epoch=epoch, service=service, shards=shards
+            vm=self._vm,
+            epoch=epoch,
+            service=table.service,
+            shards=shards,
+            generations=tuple(table.grant_of(s).generation for s in shards),
         )
         try:
             self._office.tell(release, timeout_ms=RELEASE_TIMEOUT_MS)
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -171,12 +171,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Release:
-    """Tells the coordinator that shards were let go; answered by Done."""
+    """Tells the coordinator that shards were let go; answered by Done.
+
+    Attributes:
+        generations: Generation under which each shard was owned.
+    """
 
     vm: str
     epoch: int
     service: str
     shards: tuple[int, ...]
+    generations: tuple[int, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
