--- a/standins/target.py
+++ b/standins/target.py
@@ -150,6 +150,7 @@
             }
             return _json(start_response, answer)
         finally:
+            self._write_end(request_id)
             self._running.pop(request_id, None)
 
     def _work_s(self, environ: dict[str, Any]) -> float:
@@ -174,6 +175,15 @@
         with self._journal.open("a") as file:
             file.write(json.dumps(line) + "\n")
 
+    def _write_end(self, request_id: str) -> None:
+        """Notes in a second file, NAME.ended, when a run ended."""
+        if self._journal is None:
+            return
+        ended_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        line = {"request_id": request_id, "ended_ns": ended_ns}
+        with self._journal.with_suffix(".ended").open("a") as file:
+            file.write(json.dumps(line) + "\n")
+
     def announce_forever(self, daemon: str, address: str) -> None:
         """Announces this target to the daemon beside it, again and again."""
         host, _, port = daemon.rpartition(":")
