--- a/primrosecross/domain/membership.py
+++ b/primrosecross/domain/membership.py
@@ -83,6 +83,8 @@
         self._confirmed: messages.Confirm | None = None
         self._confirmed_ns = 0
         self._held = False
+        self._followed: assignment.Assignment | None = None
+        self._named_by: dict[str, int] = {}
         self.offers: tuple[messages.OfferInfo, ...] = ()
 
     def run(self) -> None:
@@ -230,24 +232,33 @@
         """Reports members that this daemon witnesses and that fell silent."""
         while True:
             self._clock.sleep(self._timing.heartbeat_ms / 2)
+            self._follow_members()
             for silence in self._register.silences():
                 self._report(silence)
 
+    def _follow_members(self) -> None:
+        """Tells the register who names this daemon as a witness now."""
+        current = self._state.assignment
+        if current is not self._followed:
+            me = self._identity.vm
+            self._followed = current
+            self._named_by = {
+                member.vm: member.epoch
+                for member in current.members.values()
+                if me in member.witnesses or me in member.previous_witnesses
+            }
+        self._register.follow(self._named_by)
+
     def _report(self, silence: witness.Silence) -> None:
         member = self._state.assignment.members.get(silence.vm)
-        me = self._identity.vm
-        if member is None or me not in {
-            *member.witnesses,
-            *member.previous_witnesses,
-        }:
-            self._register.forget(silence.vm)
+        if member is None or member.epoch != silence.epoch:
             return
-        if member.epoch != silence.epoch:
+        if member.state is assignment.MemberState.REVOKING:
             return
         suspect = messages.Suspect(
             vm=silence.vm,
             epoch=silence.epoch,
-            witness=me,
+            witness=self._identity.vm,
             silent_ms=silence.silent_ms,
         )
         try:
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -42,6 +42,16 @@
         if current.version > self.view.version:
             self.view = current
 
+    def follow(self) -> None:
+        """Tells the register who names this process as a witness."""
+        self.register.follow(
+            {
+                member.vm: member.epoch
+                for member in self.view.members.values()
+                if self.vm in {*member.witnesses, *member.previous_witnesses}
+            }
+        )
+
     def holds(self) -> list[tuple[int, str]]:
         """Returns shards this process would serve, with its incarnation."""
         member = self.view.members.get(self.vm)
@@ -206,6 +216,7 @@
             peer = self.processes[self.random.choice(self.vms)]
             view = peer.view
             self.send(peer.vm, process, lambda: process.learn(view))
+        process.follow()
         member = process.view.members.get(process.vm)
         if member is None or member.incarnation != process.incarnation:
             self._join(process)
