Spread candidates over places and pass changes on at once

Causes, found by reading: the three candidates were the first by name and could stand in one place, so its loss left no coordinator for good; a suspect that was the coordinator itself was reported to it; a fetch of state held up the next heartbeat for up to 3 s; a change waited up to 400 ms at each hop. Change: five candidates from all places, any member that cannot reach the coordinator stands in reserve at a slower pace; a suspected coordinator is not asked until its term goes on; fetches run beside heartbeats; a heartbeat goes out at once after a change; the term is 1500 ms, renewed every 300 ms. Each part has a test; test_losing_a_place_leaves_candidates fails with the first three by name (place a).

--- a/primrosecross/domain/election.py
+++ b/primrosecross/domain/election.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 from primrosecross.domain import assignment
 from primrosecross.domain import errors
@@ -11,9 +12,10 @@
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import clock as clock_port
 
-RENEW_MS = 500
-TERM_MS = 2000
-CANDIDATES = 3
+RENEW_MS = 300
+TERM_MS = 1500
+CANDIDATES = 5
+RESERVE_MS = 4000
 
 _logger = logging.getLogger(__name__)
 
@@ -22,8 +24,9 @@
     """Takes the office when it is free and renews it while held.
 
     A term ends when its object has not changed for TERM_MS by the observer's
-    own clock. Only a few members are candidates, so that the store is read by
-    few.
+    own clock. Only a few members are candidates, spread over places, so that
+    the store is read by few and the loss of a place leaves some. A member that
+    cannot reach the coordinator stands in reserve, at a slower pace.
 
     Args:
         vm: This VM's name.
@@ -32,6 +35,7 @@
         archive: Where the term is kept.
         clock: Clock that counts time spent suspended.
         timeline: Where elections are recorded.
+        in_reserve: Tells whether the coordinator has long been out of reach.
     """
 
     def __init__(
@@ -43,7 +47,9 @@
         archive: archive_port.Archive,
         clock: clock_port.Clock,
         timeline: events.Timeline,
+        in_reserve: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._in_reserve = in_reserve
         self._vm = vm
         self._peer_address = peer_address
         self._state = state
@@ -68,21 +74,20 @@
     def run(self) -> None:
         """Campaigns until killed."""
         while True:
-            if self._is_candidate():
-                try:
-                    self.campaign()
-                except errors.StoreError as error:
-                    _logger.warning("coordinator's term: %s", error)
-                    self._version = ""
-            self._clock.sleep(RENEW_MS * random.uniform(0.8, 1.0))
-
-    def _is_candidate(self) -> bool:
-        active = sorted(
-            m.vm
-            for m in self._state.assignment.members.values()
-            if m.state is assignment.MemberState.ACTIVE
-        )
-        return len(active) < CANDIDATES or self._vm in active[:CANDIDATES]
+            candidate = is_candidate(self._vm, self._state.assignment)
+            if candidate or self._in_reserve():
+                self._try_campaign()
+            pause_ms = RENEW_MS
+            if not candidate and not self.in_office:
+                pause_ms = RESERVE_MS
+            self._clock.sleep(pause_ms * random.uniform(0.8, 1.0))
+
+    def _try_campaign(self) -> None:
+        try:
+            self.campaign()
+        except errors.StoreError as error:
+            _logger.warning("coordinator's term: %s", error)
+            self._version = ""
 
     def campaign(self) -> None:
         """Renews the office, or takes it if its term has ended.
@@ -120,3 +125,22 @@
             return True
         idle_ns = asked_ns - self._changed_ns
         return idle_ns >= TERM_MS * lease_module.NS_PER_MS
+
+
+def is_candidate(vm: str, current: assignment.Assignment) -> bool:
+    """Tells whether a VM campaigns: a few do, taken from each place in turn.
+
+    All do until there are enough members.
+    """
+    by_place: dict[str, list[str]] = {}
+    for member in sorted(current.members.values(), key=lambda m: m.vm):
+        if member.state is assignment.MemberState.ACTIVE:
+            by_place.setdefault(member.place, []).append(member.vm)
+    ranked = sorted(
+        (rank, place, vm)
+        for place, vms in by_place.items()
+        for rank, vm in enumerate(vms)
+    )
+    return len(ranked) < CANDIDATES or vm in {
+        name for _, _, name in ranked[:CANDIDATES]
+    }
--- a/primrosecross/domain/membership.py
+++ b/primrosecross/domain/membership.py
@@ -5,6 +5,7 @@
 import random
 
 import gevent
+from gevent import event as gevent_event
 
 from primrosecross.domain import assignment
 from primrosecross.domain import errors
@@ -20,6 +21,8 @@
 
 CHECK_MS = 100
 CONFIRM_TIMEOUT_MS = 2000
+SUSPECT_TIMEOUT_MS = 500
+MIN_HEARTBEAT_GAP_MS = 50
 CONFIRM_MS = 10_000
 WITNESS_CONFIRM_MS = 1000
 JOIN_TIMEOUT_MS = 8000
@@ -83,10 +86,16 @@
         self._confirmed: messages.Confirm | None = None
         self._confirmed_ns = 0
         self._held = False
+        self._changed = gevent_event.Event()
+        state.subscribe(self._note_change)
         self._followed: assignment.Assignment | None = None
         self._named_by: dict[str, int] = {}
         self.offers: tuple[messages.OfferInfo, ...] = ()
 
+    def _note_change(self) -> None:
+        self._changed.set()
+        self._changed.clear()
+
     def run(self) -> None:
         """Keeps membership and lease until killed."""
         backoff_ms = CHECK_MS
@@ -157,7 +166,7 @@
                 self._renewals[name] = gevent.spawn(self._renew_with, name)
 
     def _renew_with(self, name: str) -> None:
-        """One task for each witness."""
+        """One task for each witness; a change here is passed on at once."""
         interval_ms = self._timing.heartbeat_ms
         while True:
             member = self._state.member()
@@ -166,12 +175,17 @@
             if name not in {*member.witnesses, *self._lease.witnesses}:
                 return
             started_ns = self._clock.now_ns()
+            versions = self._versions()
             self._beat(name, member.epoch)
-            took_ms = (
-                self._clock.now_ns() - started_ns
-            ) / lease_module.NS_PER_MS
-            jitter_ms = interval_ms * random.uniform(0.9, 1.0)
-            self._clock.sleep(max(0.0, jitter_ms - took_ms))
+            self._clock.sleep(MIN_HEARTBEAT_GAP_MS)
+            took_ns = self._clock.now_ns() - started_ns
+            wait_ms = interval_ms * random.uniform(0.9, 1.0)
+            wait_ms -= took_ns / lease_module.NS_PER_MS
+            if wait_ms > 0 and versions == self._versions():
+                self._changed.wait(timeout=wait_ms / 1000)
+
+    def _versions(self) -> tuple[int, int]:
+        return self._state.assignment.version, self._state.plan.version
 
     def _beat(self, name: str, epoch: int) -> None:
         heartbeat = messages.Heartbeat(
@@ -197,7 +211,8 @@
                 epoch=epoch,
                 sent_ns=sent_ns,
             )
-        self._sync.heard(
+        gevent.spawn(
+            self._sync.heard,
             name,
             assignment_version=ack.assignment_version,
             plan_version=ack.plan_version,
@@ -255,6 +270,7 @@
             return
         if member.state is assignment.MemberState.REVOKING:
             return
+        self._office.distrust(silence.vm)
         suspect = messages.Suspect(
             vm=silence.vm,
             epoch=silence.epoch,
@@ -262,7 +278,7 @@
             silent_ms=silence.silent_ms,
         )
         try:
-            self._office.tell(suspect, timeout_ms=CONFIRM_TIMEOUT_MS)
+            self._office.tell(suspect, timeout_ms=SUSPECT_TIMEOUT_MS)
         except (errors.StoreError, errors.PeerError) as error:
             _logger.warning("cannot report %s: %s", silence.vm, error)
 
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -106,6 +106,7 @@
             archive=ports.archive,
             clock=clock,
             timeline=timeline,
+            in_reserve=self.office.out_of_reach,
         )
         self.coordinator = coordinator_module.Coordinator(
             vm=vm,
--- a/primrosecross/domain/office.py
+++ b/primrosecross/domain/office.py
@@ -1,21 +1,25 @@
 """Finds the coordinator and speaks to it, wherever it runs."""
 
+import random
 from collections.abc import Callable
 
 from primrosecross.domain import errors
+from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 
-RECHECK_MS = 500
+RECHECK_MS = 400
+OUT_OF_REACH_MS = 5000
+BEATS_OF_LIFE = 10
 
 
 class Office:
     """Sends messages to whichever daemon is the coordinator.
 
     The coordinator's name is read from the store and kept until a message to
-    it fails.
+    it fails or its heartbeats stop.
 
     Args:
         vm: This VM's name.
@@ -37,7 +41,9 @@
         self._peers = peers
         self._clock = clock
         self._term: archive_port.Term | None = None
-        self._read_ns = -RECHECK_MS * 1_000_000
+        self._distrusted: archive_port.Term | None = None
+        self._reached_ns = clock.now_ns()
+        self._read_ns = -RECHECK_MS * lease_module.NS_PER_MS
         self.local: Callable[[messages.Message], messages.Message] | None = None
 
     def tell(
@@ -58,8 +64,20 @@
         if isinstance(answer, messages.Failure):
             self._term = None
             raise errors.PeerLostError(answer.problem, remedy=answer.remedy)
+        self._reached_ns = self._clock.now_ns()
         return answer
 
+    def distrust(self, vm: str) -> None:
+        """Looks for another coordinator if this VM is it."""
+        if self._term is not None and self._term.vm == vm:
+            self._distrusted = self._term
+            self._term = None
+
+    def out_of_reach(self) -> bool:
+        """Tells whether no message has reached a coordinator for long."""
+        silent_ns = self._clock.now_ns() - self._reached_ns
+        return silent_ns > OUT_OF_REACH_MS * lease_module.NS_PER_MS
+
     def _ask(
         self,
         term: archive_port.Term,
@@ -72,14 +90,29 @@
 
     def _find(self) -> archive_port.Term:
         if self._term is None:
-            age_ns = self._clock.now_ns() - self._read_ns
-            self._clock.sleep(max(0, RECHECK_MS - age_ns / 1_000_000))
-            self._read_ns = self._clock.now_ns()
-            self._term, _ = self._archive.read_term()
-        if self._term is None:
+            self._read_term()
+        if self._term is None or self._is_distrusted(self._term):
+            self._term = None
             raise errors.PeerUnsentError(
                 "no coordinator has been elected",
                 remedy="wait; a daemon takes the office within seconds",
             )
         self._peers.learn_address(self._term.vm, self._term.peer_address)
         return self._term
+
+    def _read_term(self) -> None:
+        """Reads who is in office; repeated reads are spread out."""
+        age_ms = (self._clock.now_ns() - self._read_ns) / lease_module.NS_PER_MS
+        pause_ms = RECHECK_MS * random.uniform(0.5, 1.0)
+        self._clock.sleep(max(0.0, pause_ms - age_ms))
+        self._read_ns = self._clock.now_ns()
+        self._term, _ = self._archive.read_term()
+
+    def _is_distrusted(self, term: archive_port.Term) -> bool:
+        known = self._distrusted
+        if known is None or (term.vm, term.number) != (known.vm, known.number):
+            return False
+        if term.beat > known.beat + BEATS_OF_LIFE:
+            self._distrusted = None
+            return False
+        return True
--- /dev/null
+++ b/tests/test_ownership_election.py
@@ -0,0 +1,111 @@
+"""Who campaigns, and whom the office trusts."""
+
+import unittest
+
+from primrosecross.domain import assignment
+from primrosecross.domain import election
+from primrosecross.domain import errors
+from primrosecross.domain import messages
+from primrosecross.domain import office
+from primrosecross.ports import archive
+from tests import fakes
+from tests import test_ownership_decisions
+
+
+class CandidatesTest(unittest.TestCase):
+    """Twelve members in four places, names sorted by place."""
+
+    def setUp(self) -> None:
+        names = [f"{place}-{n}" for place in "abcd" for n in range(3)]
+        self.current = assignment.Assignment(
+            members={
+                name: test_ownership_decisions.member(name, place=name[0])
+                for name in names
+            }
+        )
+
+    def _candidates(self) -> set[str]:
+        return {
+            vm
+            for vm in self.current.members
+            if election.is_candidate(vm, self.current)
+        }
+
+    def test_losing_a_place_leaves_candidates(self):
+        for place in "abcd":
+            left = {vm for vm in self._candidates() if vm[0] != place}
+            self.assertGreaterEqual(len(left), 3)
+
+    def test_all_campaign_in_a_new_cluster(self):
+        self.current.members.clear()
+        self.assertTrue(election.is_candidate("any", self.current))
+
+
+class FakeTerms:
+    """An archive that holds a term."""
+
+    def __init__(self) -> None:
+        self.term = archive.Term("a", "127.0.0.1:1", 1, 1)
+        self.reads = 0
+
+    def read_term(self) -> tuple[archive.Term, str]:
+        """Returns the term."""
+        self.reads += 1
+        return self.term, "1"
+
+
+class FakePeers:
+    """Peers that answer or are lost."""
+
+    def __init__(self) -> None:
+        self.lost: set[str] = set()
+
+    def learn_address(self, vm: str, address: str) -> None:
+        """Takes an address."""
+
+    def call(self, vm: str, *_: object, **__: object) -> messages.Message:
+        """Answers, unless the peer is lost."""
+        if vm in self.lost:
+            raise errors.PeerLostError("lost", remedy="wait")
+        return messages.Done()
+
+
+class OfficeTest(unittest.TestCase):
+    """A daemon that tells the coordinator something."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.ManualClock()
+        self.terms = FakeTerms()
+        self.peers = FakePeers()
+        self.office = office.Office(
+            vm="me", archive=self.terms, peers=self.peers, clock=self.clock
+        )
+
+    def _tell(self) -> None:
+        self.office.tell(messages.ListConfirmed(), timeout_ms=100)
+
+    def test_coordinator_is_looked_up_once(self):
+        for _ in range(10):
+            self._tell()
+        self.assertEqual(self.terms.reads, 1)
+
+    def test_suspected_coordinator_is_not_asked_again(self):
+        self._tell()
+        self.office.distrust("a")
+        with self.assertRaises(errors.PeerUnsentError):
+            self._tell()
+        self.terms.term = archive.Term("b", "127.0.0.1:2", 2, 9)
+        self._tell()
+
+    def test_coordinator_that_goes_on_renewing_is_trusted_again(self):
+        self._tell()
+        self.office.distrust("a")
+        self.terms.term = archive.Term("a", "127.0.0.1:1", 1, 99)
+        self._tell()
+
+    def test_lost_coordinator_is_out_of_reach_after_a_while(self):
+        self._tell()
+        self.peers.lost.add("a")
+        self.assertFalse(self.office.out_of_reach())
+        self.clock.advance(office.OUT_OF_REACH_MS + 1)
+        self.assertTrue(self.office.out_of_reach())
