Admit requests by an adaptive limit, a policy's queue and a long share

Cause: the owner handed every request to its target; at four times the demand all slots and the target's own queue filled, and answers came late.

Each target has a gate. Its limit follows Gradient2 (Netflix concurrency-limits) on the median of 20 answer times, shrinks as in AIMD when the target refuses, starts at a quarter of the slots and never exceeds them; what the target reports of its load is not read. Queues differ by singledispatch on the policy: WaitingPolicy first in, first out with refusal on arrival of what would wait too long; CrestPolicy adaptive LIFO with the oldest refused. A refusal comes 10 ms before max_wait_ms at the latest, or at once if the deadline cannot be met. Long work (declared, by size, learnt by route, or running longer than after_ms) holds at most its share. A target that fails, or refuses three times in a row, is left alone for 100 ms doubling to 5 s and probed with one request.

Ruled out: a limit from each answer time alone (noise of mixed work shrinks it), CoDel's sojourn target (with waits bounded at 40 ms it seldom acts). Ownership and lease are checked again after the wait; a queued request no longer holds up the hand-over of its shard.

tests.test_admission: 16 pass.

--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -4,17 +4,20 @@
 
 import gevent
 
+from primrosecross.domain import admission as admission_module
 from primrosecross.domain import attempts as attempts_module
 from primrosecross.domain import errors
 from primrosecross.domain import holders
 from primrosecross.domain import identity
 from primrosecross.domain import lease as lease_module
+from primrosecross.domain import long_work
 from primrosecross.domain import messages
 from primrosecross.domain import office as office_module
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
 from primrosecross.domain import request
 from primrosecross.domain import state as state_module
+from primrosecross.domain import waiting
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import target as target_port
 
@@ -23,6 +26,11 @@
 NOT_OWNER_RETRY_MS = 100
 
 
+_FAILED = outcome.Unknown(
+    outcome.Reason.ANSWER_LOST, "the attempt failed in the router"
+)
+
+
 class Executor:
     """Runs requests on the targets beside this daemon.
 
@@ -53,6 +61,8 @@
         self._office = office
         self._attempts = attempts
         self._targets = targets
+        self._admission = admission_module.Admission(clock=clock)
+        self._long_work = long_work.LongWorkTracker()
         self._clock = clock
         self._in_flight: collections.Counter[tuple[str, int]] = (
             collections.Counter()
@@ -61,36 +71,100 @@
 
     def execute(self, req: request.Request) -> outcome.Outcome:
         """Runs a request if this daemon owns its key now."""
-        announcement = self._find(req.service)
-        if announcement is None:
-            return outcome.NotRun(
-                outcome.Reason.NO_TARGET,
-                f"no target of {req.service} on {self._vm}",
-            )
         service = self._state.plan.services.get(req.service)
         if service is None:
             return _not_owner(f"{self._vm} knows no service {req.service}")
         if req.idempotent or not req.identified:
-            return self._execute_here(service, announcement, req)
+            return self._execute_here(service, req)
         return self._attempts.run_once(
-            service,
-            req,
-            lambda: self._execute_here(service, announcement, req),
+            service, req, lambda: self._execute_here(service, req)
         )
 
     def _execute_here(
+        self, service: plan.Service, req: request.Request
+    ) -> outcome.Outcome:
+        refusal = self._check_ownership(service, req)
+        if refusal is not None:
+            return refusal
+        target = self._pick(service)
+        if target is None:
+            return outcome.NotRun(
+                outcome.Reason.NO_TARGET,
+                f"no target of {req.service} on {self._vm}",
+            )
+        announcement, gate = target
+        long = self._long_work.is_long(service, req)
+        ticket = gate.enter(long=long, deadline_ns=req.deadline_ns)
+        if isinstance(ticket, outcome.NotRun):
+            return ticket
+        result: outcome.Outcome = _FAILED
+        try:
+            result = self._run(service, announcement, req)
+            return result
+        finally:
+            gate.leave(ticket, result)
+            self._record_duration(service, req, ticket)
+
+    def _run(
         self,
         service: plan.Service,
         announcement: target_port.Announcement,
         req: request.Request,
     ) -> outcome.Outcome:
+        """Hands a request to the target; from here on it may have run."""
+        refusal = self._check_ownership(service, req)
+        if refusal is not None:
+            return refusal
+        if not service.keyed:
+            fence = target_port.Fence(0, 0)
+            return self._targets.run(announcement, req, fence)
+        shard, grant = self._state.assignment.grant_for(req.service, req.key)
+        fence = target_port.Fence(grant.generation, self._lease.expires_ns())
+        self._in_flight[req.service, shard] += 1
+        try:
+            return self._targets.run(announcement, req, fence)
+        finally:
+            self._in_flight[req.service, shard] -= 1
+
+    def _record_duration(
+        self,
+        service: plan.Service,
+        req: request.Request,
+        ticket: waiting.Ticket,
+    ) -> None:
+        duration_ns = self._clock.now_ns() - ticket.started_ns
+        self._long_work.record(
+            service, req, duration_ns / lease_module.NS_PER_MS
+        )
+
+    def _pick(
+        self, service: plan.Service
+    ) -> tuple[target_port.Announcement, admission_module.Gate] | None:
+        """Returns the least busy target of a service and its gate."""
+        found = [
+            (a, self._admission.gate(service, a.address, a.slots))
+            for a in self.announced.values()
+            if a.service == service.name
+        ]
+        return min(found, key=lambda target: target[1].fill, default=None)
+
+    def _check_ownership(
+        self, service: plan.Service, req: request.Request
+    ) -> outcome.NotRun | None:
+        """Refuses what this daemon may not run now."""
         if service.keyed:
-            return self._execute_owned(announcement, req)
-        if not req.idempotent and req.identified:
-            refusal = self._check_holder(service, req)
-            if refusal is not None:
-                return refusal
-        return self._targets.run(announcement, req, target_port.Fence(0, 0))
+            return self._check_grant(req)
+        if req.identified and not req.idempotent:
+            return self._check_holder(service, req)
+        return None
+
+    def _check_grant(self, req: request.Request) -> outcome.NotRun | None:
+        shard, grant = self._state.assignment.grant_for(req.service, req.key)
+        if grant.vm != self._vm:
+            return _not_owner(f"{self._vm} does not own the key")
+        if shard in self._state.assignment.tables[req.service].moves:
+            return _not_owner("the key is being handed over")
+        return self._check_lease()
 
     def _check_holder(
         self, service: plan.Service, req: request.Request
@@ -116,30 +190,6 @@
         """Returns the keyed requests that run on targets now."""
         return self._in_flight.total()
 
-    def _find(self, service: str) -> target_port.Announcement | None:
-        for announcement in self.announced.values():
-            if announcement.service == service:
-                return announcement
-        return None
-
-    def _execute_owned(
-        self, announcement: target_port.Announcement, req: request.Request
-    ) -> outcome.Outcome:
-        shard, grant = self._state.assignment.grant_for(req.service, req.key)
-        if grant.vm != self._vm:
-            return _not_owner(f"{self._vm} does not own the key")
-        if shard in self._state.assignment.tables[req.service].moves:
-            return _not_owner("the key is being handed over")
-        refusal = self._check_lease()
-        if refusal is not None:
-            return refusal
-        fence = target_port.Fence(grant.generation, self._lease.expires_ns())
-        self._in_flight[req.service, shard] += 1
-        try:
-            return self._targets.run(announcement, req, fence)
-        finally:
-            self._in_flight[req.service, shard] -= 1
-
     def hand_over(self) -> None:
         """Releases shards that are to move, once they are idle."""
         while True:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,239 @@
+"""Limits, queues, and the share of long work."""
+
+import dataclasses
+import time
+import unittest
+
+import gevent
+
+from primrosecross.adapters import boot_clock
+from primrosecross.domain import admission
+from primrosecross.domain import lease
+from primrosecross.domain import limit
+from primrosecross.domain import long_work
+from primrosecross.domain import outcome
+from primrosecross.domain import plan
+from primrosecross.domain import waiting
+from tests import fakes
+from tests import request_fakes
+
+ANSWERED = outcome.Answered(200, (), b"")
+REFUSED = outcome.NotRun(outcome.Reason.TARGET_REFUSED, "")
+CRASHED = outcome.Unknown(outcome.Reason.TARGET_CRASHED, "")
+WAITING = plan.WaitingPolicy(max_wait_ms=50)
+CREST = plan.CrestPolicy(max_queue=4)
+
+
+class LimitTest(unittest.TestCase):
+    """The limit follows what is seen of the target."""
+
+    def setUp(self) -> None:
+        self.limit = limit.AdaptiveLimit(slots=16)
+
+    def _answer(self, times: int, duration_ms: float) -> None:
+        for _ in range(times):
+            self.limit.record_answer(duration_ms, in_flight=self.limit.value)
+
+    def test_new_target_starts_with_few_and_reaches_its_slots(self):
+        self.assertEqual(self.limit.value, 4)
+        self._answer(12, 5)
+        self.assertLess(self.limit.value, 12)
+        self._answer(20, 5)
+        self.assertEqual(self.limit.value, 16)
+
+    def test_slow_answers_shrink_it_and_fast_ones_restore_it(self):
+        self._answer(100, 5)
+        self._answer(100, 50)
+        self.assertLess(self.limit.value, 13)
+        self._answer(400, 5)
+        self.assertEqual(self.limit.value, 16)
+
+    def test_refusals_shrink_it_whatever_the_target_reports(self):
+        self._answer(100, 5)
+        for _ in range(10):
+            self.limit.record_refusal()
+        self.assertLess(self.limit.value, 7)
+
+
+class QueueTest(unittest.TestCase):
+    """Policies order and bound their queues."""
+
+    def _fill(self, queue: waiting.Queue, count: int) -> list[waiting.Waiter]:
+        waiters = [waiting.Waiter(n) for n in range(1, count + 1)]
+        for waiter in waiters:
+            queue.offer(waiter, expected_ms=0)
+        return waiters
+
+    def test_waiting_policy_is_fifo_and_refuses_long_waits_at_once(self):
+        queue = waiting.queue_for(WAITING)
+        waiters = self._fill(queue, 3)
+        late = waiting.Waiter(4)
+        self.assertFalse(queue.offer(late, expected_ms=60))
+        self.assertIs(queue.take(10**9), waiters[0])
+
+    def test_crest_policy_turns_to_lifo_and_refuses_the_oldest(self):
+        queue = waiting.queue_for(CREST)
+        waiters = self._fill(queue, 5)
+        self.assertTrue(waiters[0].decided.is_set())
+        self.assertIsNone(waiters[0].ticket)
+        self.assertIs(queue.take(10), waiters[1])
+        overloaded_ns = 10**9
+        self.assertIs(queue.take(overloaded_ns), waiters[4])
+
+
+class GateTest(unittest.TestCase):
+    """A target's gate."""
+
+    def setUp(self) -> None:
+        self.clock = boot_clock.BootClock()
+
+    def _gate(self, slots: int = 4, **fields: object) -> admission.Gate:
+        declared = request_fakes.service(**fields)
+        gate = admission.Gate(service=declared, slots=slots, clock=self.clock)
+        while gate.limit.value < slots:
+            gate.limit.record_answer(0.01, in_flight=slots)
+        return gate
+
+    def _enter(self, gate: admission.Gate, *, long: bool = False):
+        deadline_ns = self.clock.now_ns() + 2000 * lease.NS_PER_MS
+        return gate.enter(long=long, deadline_ns=deadline_ns)
+
+    def test_refusal_comes_within_the_policys_wait(self):
+        for policy in (WAITING, CREST):
+            gate = self._gate(policy=policy)
+            for _ in range(4):
+                self._enter(gate)
+            started_s = time.monotonic()
+            refusal = self._enter(gate)
+            took_ms = (time.monotonic() - started_s) * 1000
+            self.assertEqual(refusal.reason, outcome.Reason.OVERLOADED)
+            self.assertGreater(refusal.retry_after_ms, 0)
+            self.assertLess(took_ms, 2 * policy.max_wait_ms)
+
+    def test_a_slot_that_falls_free_goes_to_who_waits(self):
+        gate = self._gate(slots=1)
+        ticket = self._enter(gate)
+        task = gevent.spawn(self._enter, gate)
+        gevent.sleep(0)
+        gate.leave(ticket, ANSWERED)
+        task.join()
+        self.assertIsInstance(task.value, waiting.Ticket)
+        self.assertEqual(gate.fill, 1)
+
+    def test_a_wait_that_is_cancelled_leaks_no_slot(self):
+        gate = self._gate(slots=1)
+        ticket = self._enter(gate)
+        task = gevent.spawn(self._enter, gate)
+        gevent.sleep(0)
+        task.kill(block=False)
+        gate.leave(ticket, ANSWERED)
+        self.assertEqual(gate.fill, 1)
+        task.join()
+        self.assertEqual(gate.fill, 0)
+
+    def test_long_work_holds_at_most_its_share(self):
+        gate = self._gate(slots=4)
+        tasks = [gevent.spawn(self._enter, gate, long=True) for _ in range(4)]
+        gevent.sleep(0.02)
+        held = [t for t in tasks if t.ready()]
+        self.assertEqual(len(held), 2)
+        self.assertIsInstance(self._enter(gate), waiting.Ticket)
+        gevent.killall(tasks)
+
+    def test_work_that_turned_out_long_counts(self):
+        long = plan.LongWork(after_ms=1)
+        gate = self._gate(slots=4, long_work=long)
+        for _ in range(2):
+            self._enter(gate)
+        gevent.sleep(0.005)
+        task = gevent.spawn(self._enter, gate, long=True)
+        gevent.sleep(0.005)
+        self.assertFalse(task.ready())
+        task.kill()
+
+    def test_deadline_that_cannot_be_met_is_refused_at_once(self):
+        gate = self._gate(slots=1)
+        gate.limit.typical_ms = 1000
+        self._enter(gate)
+        deadline_ns = self.clock.now_ns() + 1040 * lease.NS_PER_MS
+        started_s = time.monotonic()
+        refusal = gate.enter(long=False, deadline_ns=deadline_ns)
+        self.assertLess(time.monotonic() - started_s, 0.03)
+        self.assertEqual(refusal.reason, outcome.Reason.OVERLOADED)
+
+    def test_changed_policy_keeps_who_waits(self):
+        gate = self._gate(slots=1)
+        ticket = self._enter(gate)
+        task = gevent.spawn(self._enter, gate)
+        gevent.sleep(0)
+        changed = dataclasses.replace(request_fakes.service(), policy=CREST)
+        gate.update(changed, 1)
+        gate.leave(ticket, ANSWERED)
+        task.join()
+        self.assertIsInstance(task.value, waiting.Ticket)
+
+
+class RestTest(unittest.TestCase):
+    """A target that fails is left alone, then probed."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.ManualClock()
+        self.gate = admission.Gate(
+            service=request_fakes.service(), slots=8, clock=self.clock
+        )
+
+    def _try(self, result: outcome.Outcome):
+        ticket = self.gate.enter(long=False, deadline_ns=10**15)
+        if isinstance(ticket, waiting.Ticket):
+            self.gate.leave(ticket, result)
+        return ticket
+
+    def _admitted(self, total: int, result: outcome.Outcome) -> int:
+        admitted = 0
+        for _ in range(total):
+            self.clock.advance(10)
+            admitted += isinstance(self._try(result), waiting.Ticket)
+        return admitted
+
+    def test_crashed_target_gets_one_request_at_a_time(self):
+        self.assertIsInstance(self._try(CRASHED), waiting.Ticket)
+        self.assertEqual(self._try(ANSWERED).reason, outcome.Reason.NO_TARGET)
+        self.assertLessEqual(self._admitted(1000, CRASHED), 8)
+        self.clock.advance(admission.MAX_REST_MS)
+        self._try(ANSWERED)
+        self.assertEqual(self._admitted(100, ANSWERED), 100)
+
+    def test_draining_target_is_left_alone_after_a_few_refusals(self):
+        self.assertLessEqual(self._admitted(1000, REFUSED), 12)
+
+
+class LongWorkTest(unittest.TestCase):
+    """How long work is known."""
+
+    def setUp(self) -> None:
+        self.tracker = long_work.LongWorkTracker()
+        self.cluster = request_fakes.Cluster(
+            "a",
+            declared=request_fakes.service(
+                long_work=plan.LongWork(
+                    paths=("^/bundle/",), body_bytes=10, after_ms=100
+                )
+            ),
+        )
+
+    def _is_long(self, **fields: object) -> bool:
+        req = self.cluster.request(**fields)
+        return self.tracker.is_long(self.cluster.declared, req)
+
+    def test_declared_or_large_work_is_long(self):
+        self.assertFalse(self._is_long())
+        self.assertTrue(self._is_long(path="/bundle/7"))
+        self.assertTrue(self._is_long(body=b"12345678901"))
+
+    def test_a_route_that_runs_long_is_learnt_and_forgotten(self):
+        req = self.cluster.request(path="/report/1")
+        for duration_ms, expected in ((500, True), (5, False)):
+            for _ in range(20):
+                self.tracker.record(self.cluster.declared, req, duration_ms)
+            self.assertEqual(self._is_long(path="/report/2"), expected)
+        self.assertFalse(self._is_long(path="/status"))
