Choose unkeyed owners by what is seen; keep unknown outcomes unknown

Cause: unkeyed services took any member at random, also one that leaves, fails or is slow. Now the better of two drawn at random by requests in flight and peak-EWMA answer time per slot (as in Finagle); members that leave or are revoked are not drawn, one that fails rests 200 ms doubling to 5 s and is probed, an overloaded one rests 20 ms and the request may go elsewhere within the retry budget.

Also found: a retry that ended in a refusal was reported as not run although an earlier attempt inside the router may have run; it stays unknown now. A refusal that never reached the owner's memory is unknown too, unless the attempt is vouched for as the first.

With each mechanism off its test fails: no rest, leaving members drawn, random choice, tried members drawn again, unknown forgotten, no vouching.

--- a/primrosecross/domain/attempts.py
+++ b/primrosecross/domain/attempts.py
@@ -25,6 +25,15 @@
 
 ASK_TIMEOUT_MS = 1000
 FIRST_ATTEMPT = 1
+_BEFORE_MEMORY = frozenset(
+    {
+        outcome.Reason.NO_OWNER,
+        outcome.Reason.NOT_OWNER,
+        outcome.Reason.LEASE_LAPSED,
+        outcome.Reason.OWNER_UNREACHABLE,
+        outcome.Reason.DEADLINE,
+    }
+)
 
 
 class Attempts:
@@ -170,6 +179,21 @@
         return replies.reply_of(found, question.request_id)
 
 
+def vouch(
+    service: plan.Service, req: request.Request, result: outcome.Outcome
+) -> outcome.Outcome:
+    """Returns what may be said of a request after this attempt.
+
+    An attempt that never reached the owner's memory did not run, but that
+    says nothing of an earlier one.
+    """
+    if not isinstance(result, outcome.NotRun) or _is_first(service, req):
+        return result
+    if result.reason in _BEFORE_MEMORY:
+        return _unknown(result.detail)
+    return result
+
+
 def _is_first(service: plan.Service, req: request.Request) -> bool:
     unmarked_first = service.attempts_marked and req.attempt == 0
     return req.attempt == FIRST_ATTEMPT or unmarked_first
--- a/primrosecross/domain/retry.py
+++ b/primrosecross/domain/retry.py
@@ -54,8 +54,16 @@
         return True
 
 
-def is_safe(result: outcome.Outcome, req: request.Request) -> bool:
-    """Tells whether sending again cannot run a request twice, and may help."""
+def is_safe(
+    result: outcome.Outcome, req: request.Request, *, elsewhere: bool = False
+) -> bool:
+    """Tells whether sending again cannot run a request twice, and may help.
+
+    Args:
+        result: Outcome of the last attempt.
+        req: The request.
+        elsewhere: Whether the next attempt can go to another member.
+    """
     if isinstance(result, outcome.Answered):
         return False
     if result.reason is outcome.Reason.NO_OWNER:
@@ -63,7 +71,8 @@
     if not isinstance(req.body, bytes):
         return False
     if isinstance(result, outcome.NotRun):
-        return result.reason in _NOT_RUN_RETRYABLE
+        overloaded = result.reason is outcome.Reason.OVERLOADED
+        return result.reason in _NOT_RUN_RETRYABLE or (elsewhere and overloaded)
     return req.idempotent and result.reason in _UNKNOWN_RETRYABLE
 
 
--- a/primrosecross/domain/router.py
+++ b/primrosecross/domain/router.py
@@ -2,11 +2,12 @@
 
 import dataclasses
 import itertools
-import random
 import re
 
 from gevent import event as gevent_event
 
+from primrosecross.domain import attempts
+from primrosecross.domain import choice as choice_module
 from primrosecross.domain import errors
 from primrosecross.domain import executor as executor_module
 from primrosecross.domain import holders
@@ -25,13 +26,23 @@
 from primrosecross.ports import peers as peers_port
 
 MIN_ATTEMPT_MS = 5
+UNPAUSED_RETRIES = 2
 NO_OWNER_RETRY_MS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Choice:
+    """Where an attempt goes.
+
+    Attributes:
+        vm: The VM, or an empty string when there is none.
+        generation: Grant under which it owns the key, 0 if unkeyed.
+        free: Whether another member may be tried instead.
+    """
+
     vm: str
-    generation: int
+    generation: int = 0
+    free: bool = False
 
 
 class Router:
@@ -64,6 +75,7 @@
         self._clock = clock
         self._budget = retry.RetryBudget()
         self._resends = resends.Resends(clock=clock)
+        self._choosers: dict[str, choice_module.Chooser] = {}
         self._changed = gevent_event.Event()
         state.subscribe(self._changed.set)
 
@@ -79,24 +91,41 @@
         req = self._resends.mark(req, service.resend_window_ms)
         result = self._route(service, req)
         self._resends.settle(req, result)
-        return result
+        return attempts.vouch(service, req, result)
 
     def _route(
         self, service: plan.Service, req: request.Request
     ) -> outcome.Outcome:
+        tried: set[str] = set()
+        unknown: outcome.Unknown | None = None
         for attempt in itertools.count():
-            choice = self._choose(service, req)
+            choice = self._choose(service, req, frozenset(tried))
+            tried.add(choice.vm)
             result = self._attempt(choice, req)
-            if not retry.is_safe(result, req):
+            if isinstance(result, outcome.Answered):
                 return result
+            if isinstance(result, outcome.Unknown):
+                unknown = result
             pause_ms = retry.pause_ms(attempt)
-            if self._left_ms(req) <= pause_ms + MIN_ATTEMPT_MS:
-                return result
-            if retry.costs_token(result) and not self._budget.withdraw():
-                return result
-            self._wait(pause_ms)
+            if not self._may_retry(choice, req, result, pause_ms):
+                return unknown or result
+            if not choice.free or attempt >= UNPAUSED_RETRIES:
+                self._wait(pause_ms)
         raise AssertionError("unreachable")
 
+    def _may_retry(
+        self,
+        choice: _Choice,
+        req: request.Request,
+        result: outcome.NotRun | outcome.Unknown,
+        pause_ms: float,
+    ) -> bool:
+        if not retry.is_safe(result, req, elsewhere=choice.free):
+            return False
+        if self._left_ms(req) <= pause_ms + MIN_ATTEMPT_MS:
+            return False
+        return not retry.costs_token(result) or self._budget.withdraw()
+
     def _wait(self, pause_ms: float) -> None:
         """Waits for a newer assignment, at most for the pause."""
         self._changed.clear()
@@ -115,11 +144,29 @@
                 f"no owner of {req.service} is known",
                 NO_OWNER_RETRY_MS,
             )
+        if not choice.free:
+            return self._send(choice, req)
+        chooser = self._chooser(req.service)
+        started_ns = self._clock.now_ns()
+        chooser.started(choice.vm)
+        result: outcome.Outcome = outcome.Unknown(
+            outcome.Reason.ANSWER_LOST, "the attempt failed in the router"
+        )
+        try:
+            result = self._send(choice, req)
+        finally:
+            took_ns = self._clock.now_ns() - started_ns
+            chooser.ended(choice.vm, result, took_ns / lease_module.NS_PER_MS)
+        return result
+
+    def _send(self, choice: _Choice, req: request.Request) -> outcome.Outcome:
         if choice.vm == self._vm:
             return self._executor.execute(req)
         return self._forward(choice, req)
 
-    def _choose(self, service: plan.Service, req: request.Request) -> _Choice:
+    def _choose(
+        self, service: plan.Service, req: request.Request, tried: frozenset[str]
+    ) -> _Choice:
         version = self._state.assignment
         if service.keyed:
             _, grant = version.grant_for(req.service, req.key)
@@ -128,13 +175,16 @@
             holder = holders.holder_of(
                 version, service, identity.identity_of(req)
             )
-            return _Choice(holder.vm if holder else "", 0)
-        vms = [
-            m.vm
-            for m in version.members.values()
-            if m.offers_service(req.service)
-        ]
-        return _Choice(random.choice(vms) if vms else "", 0)
+            return _Choice(holder.vm if holder else "")
+        chooser = self._chooser(service.name)
+        return _Choice(chooser.choose(version, avoid=tried), free=True)
+
+    def _chooser(self, service: str) -> choice_module.Chooser:
+        chooser = self._choosers.get(service)
+        if chooser is None:
+            chooser = choice_module.Chooser(service=service, clock=self._clock)
+            self._choosers[service] = chooser
+        return chooser
 
     def _forward(
         self, choice: _Choice, req: request.Request
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,8 @@
 """Limits, queues, and the share of long work."""
 
+import collections
 import dataclasses
+import random
 import time
 import unittest
 
@@ -8,6 +10,8 @@
 
 from primrosecross.adapters import boot_clock
 from primrosecross.domain import admission
+from primrosecross.domain import assignment
+from primrosecross.domain import choice
 from primrosecross.domain import lease
 from primrosecross.domain import limit
 from primrosecross.domain import long_work
@@ -237,3 +241,55 @@
                 self.tracker.record(self.cluster.declared, req, duration_ms)
             self.assertEqual(self._is_long(path="/report/2"), expected)
         self.assertFalse(self._is_long(path="/status"))
+
+
+class ChoiceTest(unittest.TestCase):
+    """Choosing among members of a service without keys."""
+
+    def setUp(self) -> None:
+        random.seed(5)
+        self.clock = fakes.ManualClock()
+        self.version = request_fakes.Cluster(
+            *"abcd", declared=request_fakes.service(keyed=False)
+        ).assignment
+        self.chooser = choice.Chooser(service="rezervace", clock=self.clock)
+
+    def _send(
+        self, count: int, results: dict[str, outcome.Outcome] | None = None
+    ) -> collections.Counter[str]:
+        seen: collections.Counter[str] = collections.Counter()
+        for _ in range(count):
+            self.clock.advance(1)
+            vm = self.chooser.choose(self.version)
+            seen[vm] += 1
+            self.chooser.started(vm)
+            result = (results or {}).get(vm, ANSWERED)
+            self.chooser.ended(vm, result, 5)
+        return seen
+
+    def test_failing_member_is_left_out_and_probed(self):
+        unreachable = outcome.NotRun(outcome.Reason.OWNER_UNREACHABLE, "")
+        seen = self._send(2000, {"a": unreachable})
+        self.assertLessEqual(seen["a"], 6)
+        self.clock.advance(choice.MAX_REST_MS)
+        self.assertGreater(self._send(400)["a"], 50)
+
+    def test_leaving_member_is_not_chosen(self):
+        leaving = self.version.copy()
+        leaving.members["b"] = dataclasses.replace(
+            leaving.members["b"], state=assignment.MemberState.LEAVING
+        )
+        self.version = leaving
+        self.assertEqual(self._send(100)["b"], 0)
+
+    def test_slow_member_with_requests_in_flight_gets_fewer(self):
+        self._send(100)
+        for _ in range(8):
+            self.chooser.started("c")
+        self.assertLess(self._send(400)["c"], 20)
+
+    def test_tried_members_come_last(self):
+        for _ in range(50):
+            avoid = frozenset("abd")
+            chosen = self.chooser.choose(self.version, avoid=avoid)
+            self.assertEqual(chosen, "c")
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -11,6 +11,7 @@
 from primrosecross.domain import identity
 from primrosecross.domain import messages
 from primrosecross.domain import outcome
+from primrosecross.domain import replies
 from primrosecross.domain import retry
 from tests import fakes
 from tests import request_fakes
@@ -66,6 +67,15 @@
         self.assertIsInstance(self.b.router.route(req), outcome.Answered)
         self.assertEqual(self.cluster.runs(), 2)
 
+    def test_refusal_after_a_lost_reply_is_not_called_not_run(self):
+        self.cluster.peers.lose_next_reply = True
+        refused = outcome.NotRun(outcome.Reason.OVERLOADED, "")
+        self.cluster.peers.change_reply = lambda reply: replies.reply_of(
+            refused, reply.request_id
+        )
+        req = self.cluster.request(idempotent=True, method="GET")
+        self.assertIsInstance(self.b.router.route(req), outcome.Unknown)
+
     def test_same_key_for_another_request_is_refused(self):
         self.b.router.route(self.cluster.request())
         result = self.b.router.route(self.cluster.request(body=b"other"))
@@ -116,6 +126,20 @@
         self.assertEqual(result.reason, outcome.Reason.EARLIER_ATTEMPT)
         self.assertEqual(self.cluster.runs(), 1)
 
+    def test_unreachable_owner_says_nothing_of_an_earlier_attempt(self):
+        self.cluster.peers.lost.add("a")
+        for attempt, kind in (
+            (0, outcome.Unknown),
+            (1, outcome.NotRun),
+            (2, outcome.Unknown),
+        ):
+            req = self.cluster.request(
+                request_id=f"r{attempt}",
+                attempt=attempt,
+                deadline_ns=self.cluster.clock.now_ns() + 10**7,
+            )
+            self.assertIsInstance(self.b.router.route(req), kind)
+
     def test_first_attempt_runs_at_once_after_a_loss(self):
         self.cluster.give("b", lost="a")
         result = self.c.router.route(self.cluster.request(attempt=1))
