Refuse requests that crashed two targets

Cause: a request that crashes its target came again and took the next target, and the next.

A request whose target vanished while running it (answer lost, and the target takes no connection any more) is noted by fingerprint and the note is sent to all members before the caller hears of it.

Port: Targets.listens(announcement) is new (two connects 20 ms apart, as a dying process may close its listening socket last). Messages: NoteCrashes, ListQuarantined, Quarantined, ReleaseQuarantined; Operations.quarantined and release_quarantined. Not covered: copies of one request already running on several targets at the first crash.

--- a/primrosecross/adapters/target_http.py
+++ b/primrosecross/adapters/target_http.py
@@ -1,6 +1,8 @@
 """Targets over HTTP, on this VM."""
 
+import gevent
 import geventhttpclient
+from gevent import socket as gevent_socket
 from geventhttpclient import response as http_response
 
 from primrosecross.domain import lease as lease_module
@@ -17,6 +19,8 @@
 NOT_RUN_HEADER = "Primrosecross-Not-Run"
 CONNECT_TIMEOUT_S = 1.0
 CONNECTIONS = 130
+LISTEN_CHECKS = 2
+LISTEN_PAUSE_S = 0.02
 HOP_HEADERS = frozenset({"connection", "transfer-encoding", "keep-alive"})
 
 
@@ -63,6 +67,19 @@
             )
         return _outcome(answer, body)
 
+    def listens(self, announcement: target_port.Announcement) -> bool:
+        """Tells whether the target takes connections, and still does."""
+        host, _, port = announcement.address.rpartition(":")
+        for _ in range(LISTEN_CHECKS):
+            try:
+                gevent_socket.create_connection(
+                    (host, int(port)), timeout=CONNECT_TIMEOUT_S
+                ).close()
+            except OSError:
+                return False
+            gevent.sleep(LISTEN_PAUSE_S)
+        return True
+
     def _client(self, address: str) -> geventhttpclient.HTTPClient:
         client = self._clients.get(address)
         if client is None:
--- a/primrosecross/domain/events.py
+++ b/primrosecross/domain/events.py
@@ -175,6 +175,15 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestQuarantined:
+    """A request is refused from now on, as targets crashed while running it."""
+
+    fingerprint: str
+    service: str
+    crashes: int
+
+
 Event = (
     LeaseGained
     | LeaseLost
@@ -193,6 +202,7 @@
     | ConnectionGivenUp
     | DrainStarted
     | DrainEnded
+    | RequestQuarantined
 )
 
 
--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -15,6 +15,7 @@
 from primrosecross.domain import office as office_module
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
+from primrosecross.domain import quarantine as quarantine_module
 from primrosecross.domain import request
 from primrosecross.domain import state as state_module
 from primrosecross.domain import waiting
@@ -40,6 +41,7 @@
         lease: This daemon's lease.
         office: Reaches the coordinator.
         attempts: Keeps identified requests to one run.
+        quarantine: Knows requests that crash targets.
         targets: Targets on this VM.
         clock: Clock that counts time spent suspended.
     """
@@ -52,6 +54,7 @@
         lease: lease_module.Lease,
         office: office_module.Office,
         attempts: attempts_module.Attempts,
+        quarantine: quarantine_module.Quarantine,
         targets: target_port.Targets,
         clock: clock_port.Clock,
     ) -> None:
@@ -60,6 +63,7 @@
         self._lease = lease
         self._office = office
         self._attempts = attempts
+        self._quarantine = quarantine
         self._targets = targets
         self._admission = admission_module.Admission(clock=clock)
         self._long_work = long_work.LongWorkTracker()
@@ -84,6 +88,7 @@
         self, service: plan.Service, req: request.Request
     ) -> outcome.Outcome:
         refusal = self._check_ownership(service, req)
+        refusal = refusal or self._quarantine.check(req)
         if refusal is not None:
             return refusal
         target = self._pick(service)
@@ -100,11 +105,31 @@
         result: outcome.Outcome = _FAILED
         try:
             result = self._run(service, announcement, req)
+            result = self._check_crash(announcement, req, result)
             return result
         finally:
             gate.leave(ticket, result)
             self._record_duration(service, req, ticket)
 
+    def _check_crash(
+        self,
+        announcement: target_port.Announcement,
+        req: request.Request,
+        result: outcome.Outcome,
+    ) -> outcome.Outcome:
+        """Notes a request whose target vanished while running it."""
+        if isinstance(result, outcome.Answered):
+            self._quarantine.record_answer(req)
+            return result
+        lost = result.reason is outcome.Reason.ANSWER_LOST
+        if not lost or self._targets.listens(announcement):
+            return result
+        self._quarantine.record_crash(req, announcement.address)
+        return outcome.Unknown(
+            outcome.Reason.TARGET_CRASHED,
+            "the target vanished while running the request",
+        )
+
     def _run(
         self,
         service: plan.Service,
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -413,6 +413,58 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNote:
+    """A request that was running on a target when the target vanished.
+
+    Attributes:
+        fingerprint: What the request asked for; see identity.fingerprint.
+        path: Its path without the query.
+        crash: Identity of the target's crash.
+        age_ms: Time since then.
+    """
+
+    fingerprint: str
+    service: str
+    key: str
+    method: str
+    path: str
+    crash: str
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteCrashes:
+    """Tells another daemon of suspected requests; answered by Done."""
+
+    notes: tuple[CrashNote, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListQuarantined:
+    """Asks for the suspected requests; answered by Quarantined."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantined:
+    """Requests that are suspected of crashing targets.
+
+    Attributes:
+        notes: One for each request and crash.
+        released: Crashes that no longer count, as "fingerprint crash".
+    """
+
+    notes: tuple[CrashNote, ...]
+    released: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseQuarantined:
+    """Takes the suspicion from a request; answered by Done."""
+
+    fingerprint: str
+
+
 Message = (
     Hello
     | Failure
@@ -447,6 +499,10 @@
     | ForwardUnknown
     | AskAnswer
     | AnswerAbsent
+    | NoteCrashes
+    | ListQuarantined
+    | Quarantined
+    | ReleaseQuarantined
 )
 
 
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -22,6 +22,7 @@
 from primrosecross.domain import meter as meter_module
 from primrosecross.domain import office as office_module
 from primrosecross.domain import operations as operations_module
+from primrosecross.domain import quarantine as quarantine_module
 from primrosecross.domain import replies
 from primrosecross.domain import request
 from primrosecross.domain import ring as ring_module
@@ -129,12 +130,20 @@
             peers=ports.peers,
             clock=clock,
         )
+        self.quarantine = quarantine_module.Quarantine(
+            vm=vm,
+            state=self.state,
+            peers=ports.peers,
+            clock=clock,
+            timeline=timeline,
+        )
         self.executor = executor_module.Executor(
             vm=vm,
             state=self.state,
             lease=self.lease,
             office=self.office,
             attempts=self.attempts,
+            quarantine=self.quarantine,
             targets=ports.targets,
             clock=clock,
         )
@@ -165,6 +174,7 @@
             peers=ports.peers,
             probe=self._report,
             timeline=timeline,
+            quarantine=self.quarantine,
         )
         self._answer = functools.singledispatch(self.coordinator.handle)
         self._answer.register(
@@ -176,6 +186,15 @@
         self._answer.register(messages.AskAnswer, self.attempts.answer_ask)
         self._answer.register(messages.Probe, self._report)
         self._answer.register(messages.ReadTimeline, self.collector.part)
+        self._answer.register(
+            messages.NoteCrashes, self.quarantine.answer_notes
+        )
+        self._answer.register(
+            messages.ListQuarantined, self.quarantine.answer_list
+        )
+        self._answer.register(
+            messages.ReleaseQuarantined, self.quarantine.answer_release
+        )
 
     def handle(self, message: messages.Message) -> messages.Message:
         """Answers a message from another daemon."""
@@ -232,6 +251,7 @@
             self.membership.watch_others,
             self.executor.hand_over,
             self.ring.run,
+            self.quarantine.run,
             self._watch_plan,
         ):
             gevent.spawn(self._keep_running, task)
--- a/primrosecross/domain/operations.py
+++ b/primrosecross/domain/operations.py
@@ -10,6 +10,7 @@
 from primrosecross.domain import messages
 from primrosecross.domain import office as office_module
 from primrosecross.domain import plan
+from primrosecross.domain import quarantine as quarantine_module
 from primrosecross.domain import state as state_module
 from primrosecross.domain import status as status_module
 from primrosecross.ports import archive as archive_port
@@ -51,6 +52,7 @@
         peers: Other daemons.
         probe: Answers for this daemon when members are asked how they are.
         timeline: Where applied plans are recorded.
+        quarantine: Knows requests that crash targets.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         peers: peers_port.Peers,
         probe: Callable[[messages.Probe], messages.ProbeReport],
         timeline: events.Timeline,
+        quarantine: quarantine_module.Quarantine,
     ) -> None:
         self._vm = vm
         self._state = state
@@ -71,6 +74,7 @@
         self._peers = peers
         self._probe = probe
         self._timeline = timeline
+        self._quarantine = quarantine
 
     def plan_in_store(self) -> plan.Plan:
         """Returns the stored plan, or the empty one."""
@@ -259,6 +263,18 @@
             answers[self._vm] = self._probe(probe)
         return answers
 
+    def quarantined(self) -> list[quarantine_module.Suspect]:
+        """Returns requests suspected of crashing targets."""
+        return self._quarantine.suspects()
+
+    def release_quarantined(self, fingerprint: str) -> None:
+        """Has a suspected request run again, on every daemon.
+
+        Raises:
+            errors.NotFoundError: It is under no suspicion.
+        """
+        self._quarantine.release(fingerprint)
+
     def confirmed(self) -> messages.Confirmed:
         """Returns what each member last confirmed; empty if unknown."""
         try:
--- a/primrosecross/ports/target.py
+++ b/primrosecross/ports/target.py
@@ -47,3 +47,6 @@
         fence: Fence,
     ) -> outcome.Outcome:
         """Runs a request on a target and returns its outcome."""
+
+    def listens(self, announcement: Announcement) -> bool:
+        """Tells whether the target takes connections now."""
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -16,6 +16,7 @@
 from primrosecross.domain import messages
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
+from primrosecross.domain import quarantine
 from primrosecross.domain import replies
 from primrosecross.domain import request
 from primrosecross.domain import router
@@ -59,6 +60,10 @@
         self.ran.append(req.request_id)
         return self.action(req)
 
+    def listens(self, announcement: target.Announcement) -> bool:
+        """Tells whether the target takes connections."""
+        return self.listening
+
 
 def _answer(req: request.Request) -> outcome.Outcome:
     return outcome.Answered(200, (), req.request_id.encode())
@@ -71,6 +76,7 @@
         self.handlers: dict[str, Callable] = {}
         self.lost: set[str] = set()
         self.lose_replies: set[str] = set()
+        self.lose_next_reply = False
         self.calls: collections.Counter[str] = collections.Counter()
         self.change_reply: Callable = lambda reply: reply
 
@@ -82,7 +88,8 @@
         if vm in self.lost or vm not in self.handlers:
             raise errors.PeerUnsentError("no connection", remedy="wait")
         reply = self.handlers[vm](message)
-        if vm in self.lose_replies:
+        lose_this, self.lose_next_reply = self.lose_next_reply, False
+        if lose_this or vm in self.lose_replies:
             raise errors.PeerLostError("no reply", remedy="wait")
         return self.change_reply(reply)
 
@@ -99,7 +106,7 @@
     targets: FakeTargets
     executor: executor.Executor
     router: router.Router
-    lease: lease.Lease
+    quarantine: quarantine.Quarantine
 
 
 class Cluster:
@@ -156,12 +163,20 @@
             peers=self.peers,
             clock=self.clock,
         )
+        suspects = quarantine.Quarantine(
+            vm=name,
+            state=present,
+            peers=self.peers,
+            clock=self.clock,
+            timeline=timeline,
+        )
         runner = executor.Executor(
             vm=name,
             state=present,
             lease=held,
             office=None,
             attempts=tried,
+            quarantine=suspects,
             targets=targets,
             clock=self.clock,
         )
@@ -181,8 +196,11 @@
             messages.Forward, functools.partial(self._execute, runner)
         )
         handle.register(messages.AskAnswer, tried.answer_ask)
+        handle.register(messages.NoteCrashes, suspects.answer_notes)
+        handle.register(messages.ListQuarantined, suspects.answer_list)
+        handle.register(messages.ReleaseQuarantined, suspects.answer_release)
         self.peers.handlers[name] = handle
-        return Vm(name, present, targets, runner, entry, held)
+        return Vm(name, present, targets, runner, entry, suspects)
 
     def _execute(
         self, runner: executor.Executor, forward: messages.Forward
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,116 @@
+"""Requests that crash the targets that run them."""
+
+import unittest
+
+from primrosecross.domain import errors
+from primrosecross.domain import messages
+from primrosecross.domain import outcome
+from primrosecross.domain import quarantine
+from primrosecross.domain import request
+from tests import request_fakes
+
+LOST = outcome.Unknown(outcome.Reason.ANSWER_LOST, "")
+
+
+class QuarantineTest(unittest.TestCase):
+    """One crashing request among four daemons."""
+
+    def setUp(self) -> None:
+        self.cluster = request_fakes.Cluster(
+            *"abcd", declared=request_fakes.service(keyed=False)
+        )
+        self.crashed: list[str] = []
+        for vm in self.cluster.vms.values():
+            self._make_crash(vm)
+
+    def _make_crash(self, vm: request_fakes.Vm) -> None:
+        def run(req: request.Request) -> outcome.Outcome:
+            vm.targets.listening = not req.path.startswith("/crash")
+            if vm.targets.listening:
+                return outcome.Answered(200, (), b"")
+            self.crashed.append(vm.name)
+            self.cluster.clock.advance(400)
+            return LOST
+
+        vm.targets.action = run
+
+    def _send(self, via: str, path: str = "/crash") -> outcome.Outcome:
+        self.cluster.clock.advance(10_000)
+        req = self.cluster.request(
+            path=path, idempotent=True, identified=False, method="GET"
+        )
+        return self.cluster.vms[via].router.route(req)
+
+    def test_it_costs_two_targets_wherever_it_comes_again(self):
+        results = [self._send(via) for via in "abcdabcd"]
+        self.assertEqual(len(self.crashed), quarantine.CRASHES)
+        self.assertIsInstance(results[0], outcome.Unknown)
+        for result in results[2:]:
+            self.assertIsInstance(result, outcome.NotRun)
+            self.assertEqual(result.reason, outcome.Reason.QUARANTINED)
+
+    def test_other_requests_run(self):
+        for via in "abcd":
+            self._send(via)
+        self.assertIsInstance(self._send("a", "/book"), outcome.Answered)
+
+    def test_it_is_listed_and_released_everywhere(self):
+        for via in "ab":
+            self._send(via)
+        known = self.cluster.vms["c"].quarantine
+        (suspect,) = known.suspects()
+        self.assertTrue(suspect.refused)
+        self.assertEqual(suspect.path, "/crash")
+        known.release(suspect.fingerprint)
+        for vm in self.cluster.vms.values():
+            self.assertEqual(vm.quarantine.suspects(), [])
+        with self.assertRaises(errors.NotFoundError):
+            known.release(suspect.fingerprint)
+
+    def test_it_is_released_after_a_time(self):
+        for via in "ab":
+            self._send(via)
+        self.cluster.clock.advance(quarantine.EXPIRY_MS)
+        for vm in self.cluster.vms.values():
+            self.assertEqual(vm.quarantine.suspects(), [])
+
+    def test_an_answer_clears_who_ran_beside_it(self):
+        beside = self.cluster.request(path="/book")
+        vm = self.cluster.vms["a"]
+        vm.quarantine.record_crash(beside, "t")
+        self.assertEqual(len(vm.quarantine.suspects()), 1)
+        vm.quarantine.record_answer(beside)
+        self.assertEqual(vm.quarantine.suspects(), [])
+
+    def test_two_losses_in_one_crash_count_once(self):
+        beside = self.cluster.request(path="/book")
+        vm = self.cluster.vms["a"]
+        for _ in range(3):
+            vm.quarantine.record_crash(beside, "t")
+        self.assertEqual(vm.quarantine.suspects()[0].crashes, 1)
+
+    def test_a_daemon_that_missed_the_notes_gets_them(self):
+        self.cluster.peers.lost.add("d")
+        for via in "ab":
+            self._send(via)
+        missed = self.cluster.vms["d"].quarantine
+        self.assertEqual(missed.suspects(), [])
+        self.cluster.peers.lost.clear()
+        missed.compare()
+        (suspect,) = missed.suspects()
+        self.assertTrue(suspect.refused)
+        self.cluster.peers.lost.add("d")
+        self.cluster.vms["a"].quarantine.release(suspect.fingerprint)
+        self.cluster.peers.lost.clear()
+        for _ in range(20):
+            missed.compare()
+        self.assertEqual(missed.suspects(), [])
+
+    def test_a_late_note_does_not_undo_a_release(self):
+        for via in "ab":
+            self._send(via)
+        known = self.cluster.vms["c"].quarantine
+        told = known.answer_list(messages.ListQuarantined())
+        known.release(told.notes[0].fingerprint)
+        known.answer_notes(messages.NoteCrashes(told.notes))
+        self.assertEqual(known.suspects(), [])
