--- a/primrosecross/adapters/peer_codec.py
+++ b/primrosecross/adapters/peer_codec.py
@@ -14,6 +14,7 @@
 
 from primrosecross.domain import errors
 from primrosecross.domain import messages
+from primrosecross.models import settings as settings_model
 
 MAX_FRAME_BYTES = 80 << 20
 
@@ -76,11 +77,18 @@
                 yield _frame(parts)
         except (ValueError, TypeError, msgpack.UnpackException) as error:
             raise errors.PeerProtocolError(
-                f"garbage on a peer connection: {error}",
+                f"garbage on a peer connection: {_problem(error)}",
                 remedy="check that both sides run compatible versions",
             ) from error
 
 
+def _problem(error: Exception) -> str:
+    """Returns what is wrong without what was received, which may be private."""
+    if isinstance(error, pydantic.ValidationError):
+        return settings_model.describe(error)
+    return type(error).__name__
+
+
 def _frame(parts: object) -> Frame:
     if not isinstance(parts, list) or len(parts) < 4:
         raise ValueError("not a frame")
