--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -24,6 +24,7 @@
 from primrosecross.domain import operations
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
+from primrosecross.domain import quarantine
 from primrosecross.domain import request
 from primrosecross.domain import stamp
 from primrosecross.domain import state
@@ -68,14 +69,23 @@
         self.clock = fakes.ManualClock()
         timeline = _timeline("a", self.clock)
         self.archive = object_archive.ObjectArchive(store=fakes.MemoryStore())
+        present = state.State(vm="a", timeline=timeline)
+        peers = fakes.MemoryPeers()
         self.operations = operations.Operations(
             vm="a",
-            state=state.State(vm="a", timeline=timeline),
+            state=present,
             archive=self.archive,
             office=NoOffice(),
-            peers=fakes.MemoryPeers(),
+            peers=peers,
             probe=lambda _: None,
             timeline=timeline,
+            quarantine=quarantine.Quarantine(
+                vm="a",
+                state=present,
+                peers=peers,
+                clock=self.clock,
+                timeline=timeline,
+            ),
         )
 
     def _apply(self, version: int, author: str, timeout_ms: int) -> list[str]:
