--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,10 @@
 """Small fakes at the ports."""
 
+from primrosecross.domain import errors
 from primrosecross.domain import lease
+from primrosecross.domain import messages
+from primrosecross.ports import peers as peers_port
+from primrosecross.ports import store as store_port
 
 
 class ManualClock:
@@ -24,3 +28,57 @@
     def advance(self, duration_ms: float) -> None:
         """Moves the time on."""
         self.time_ns += int(duration_ms * lease.NS_PER_MS)
+
+
+class MemoryStore:
+    """The platform's objects in memory."""
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], store_port.StoredObject] = {}
+        self._version = 0
+
+    def read(self, kind: str, name: str) -> store_port.StoredObject | None:
+        """Returns an object, or None."""
+        return self.objects.get((kind, name))
+
+    def create(self, kind: str, name: str, spec) -> store_port.StoredObject:
+        """Creates an object that must not exist."""
+        if (kind, name) in self.objects:
+            raise errors.StoreConflictError("it exists", remedy="read it")
+        return self._put(kind, name, spec)
+
+    def update(
+        self, kind: str, name: str, spec, version: str
+    ) -> store_port.StoredObject:
+        """Replaces an object that must have the given version."""
+        found = self.objects.get((kind, name))
+        if found is None or found.version != version:
+            raise errors.StoreConflictError("it changed", remedy="read it")
+        return self._put(kind, name, spec)
+
+    def _put(self, kind: str, name: str, spec) -> store_port.StoredObject:
+        self._version += 1
+        stored = store_port.StoredObject(kind, name, str(self._version), spec)
+        self.objects[kind, name] = stored
+        return stored
+
+
+class MemoryPeers:
+    """Daemons in this process, by VM; others do not answer."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, peers_port.Handler] = {}
+
+    def call(
+        self, vm: str, message: messages.Message, *, timeout_ms: int
+    ) -> messages.Message:
+        """Hands a message to a handler."""
+        del timeout_ms
+        if vm not in self.handlers:
+            raise errors.PeerUnsentError(
+                f"cannot connect to {vm}", remedy="start it"
+            )
+        return self.handlers[vm](message)
+
+    def learn_address(self, vm: str, address: str) -> None:
+        """Does nothing."""
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,250 @@
+"""The time line: causal order, bounds, and its renderings."""
+
+import json
+import unittest
+from xml.etree import ElementTree
+
+from primrosecross.adapters import http_server
+from primrosecross.adapters import object_store
+from primrosecross.adapters import timeline_picture
+from primrosecross.adapters import timeline_text
+from primrosecross.domain import assignment
+from primrosecross.domain import collector
+from primrosecross.domain import events
+from primrosecross.domain import messages
+from primrosecross.domain import meter
+from primrosecross.domain import outcome
+from primrosecross.domain import stamp
+from primrosecross.domain import state
+from standins import platform
+from tests import fakes
+
+PORT = 31410
+HOUR_MS = 3_600_000
+MEMBERS = ("a", "b", "gone")
+
+
+class Process:
+    """One daemon's time line, with a clock of its own."""
+
+    def __init__(self, vm: str, *, ahead_ms: int, peers: fakes.MemoryPeers):
+        self.clock = fakes.ManualClock()
+        self.clock.advance(HOUR_MS + ahead_ms)
+        self.stamps = stamp.StampClock(clock=self.clock)
+        self.timeline = events.Timeline(
+            vm=vm, clock=self.clock, stamps=self.stamps
+        )
+        self.state = state.State(vm=vm, timeline=self.timeline)
+        self.collector = self.make_collector(vm, "first", peers)
+        self.state.offer_assignment(_members(*MEMBERS))
+
+    def make_collector(self, vm: str, incarnation: str, peers):
+        """Answers for this time line as a process of that identity."""
+        made = collector.Collector(
+            vm=vm,
+            incarnation=incarnation,
+            state=self.state,
+            peers=peers,
+            timeline=self.timeline,
+        )
+        peers.handlers[vm] = made.part
+        return made
+
+
+def _members(*vms: str) -> assignment.Assignment:
+    return assignment.Assignment(
+        version=len(vms),
+        members={
+            vm: assignment.Member(vm, "p", "r", "", "", 1, ()) for vm in vms
+        },
+    )
+
+
+def _kinds(collected: collector.Collected) -> list[tuple[str, str]]:
+    return [(event.vm, event.kind) for event in collected.events]
+
+
+class CausalOrderTest(unittest.TestCase):
+    """Two processes; the second's clock is an hour behind the first's."""
+
+    def setUp(self) -> None:
+        self.peers = fakes.MemoryPeers()
+        self.ahead = Process("a", ahead_ms=HOUR_MS, peers=self.peers)
+        self.behind = Process("b", ahead_ms=0, peers=self.peers)
+
+    def test_message_from_a_process_ahead(self):
+        self.ahead.timeline.record(events.MemberDraining("b", 1))
+        sent = self.ahead.stamps.now()
+        self.behind.stamps.observe(sent)
+        self.behind.timeline.record(events.LeaseLost(1))
+        for process in (self.ahead, self.behind):
+            self.assertEqual(
+                _kinds(process.collector.collect()),
+                [("a", "MemberDraining"), ("b", "LeaseLost")],
+            )
+
+    def test_write_read_from_the_store(self):
+        server = http_server.HttpServer(
+            ("127.0.0.1", PORT), platform.Platform().serve, log=None
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        stores = {
+            process: object_store.ObjectStore(
+                url=f"http://127.0.0.1:{PORT}",
+                clock=process.clock,
+                timeline=process.timeline,
+                stamps=process.stamps,
+            )
+            for process in (self.ahead, self.behind)
+        }
+        self.ahead.timeline.record(events.PlanApplied(1, "petra"))
+        stores[self.ahead].create("plans", "current", {"version": 1})
+        stores[self.behind].read("plans", "current")
+        self.behind.timeline.record(events.PlanInForce(1, "petra"))
+        self.assertEqual(
+            _kinds(self.behind.collector.collect()),
+            [("a", "PlanApplied"), ("b", "PlanInForce")],
+        )
+
+    def test_decision_recorded_after_its_effect_was_seen(self):
+        decided = self.ahead.timeline.stamp()
+        self.behind.stamps.observe(self.ahead.stamps.now())
+        self.behind.timeline.record(events.LeaseLost(1))
+        self.ahead.stamps.observe(self.behind.stamps.now())
+        self.ahead.timeline.record(
+            events.MemberRevoked("b", 1, 7), stamp=decided
+        )
+        self.assertEqual(
+            _kinds(self.ahead.collector.collect()),
+            [("a", "MemberRevoked"), ("b", "LeaseLost")],
+        )
+
+
+class BoundsTest(unittest.TestCase):
+    """What a reader gets from processes that are many, new or gone."""
+
+    def setUp(self) -> None:
+        self.peers = fakes.MemoryPeers()
+        self.asked = Process("a", ahead_ms=0, peers=self.peers)
+        self.other = Process("b", ahead_ms=0, peers=self.peers)
+
+    def test_process_that_is_gone_is_named(self):
+        found = self.asked.collector.collect()
+        self.assertEqual([m.vm for m in found.missing], ["gone"])
+        self.asked.state.offer_assignment(_members("a", "b", "c", "d"))
+        found = self.asked.collector.collect()
+        problems = {m.vm: m.problem for m in found.missing}
+        self.assertEqual(set(problems), {"gone", "c", "d"})
+        self.assertIn("no member any more", problems["gone"])
+
+    def test_reader_gets_only_what_is_new(self):
+        self.other.timeline.record(events.LeaseGained(1))
+        first = self.asked.collector.collect()
+        self.other.timeline.record(events.LeaseLost(1))
+        second = self.asked.collector.collect(cursors=first.cursors)
+        self.assertEqual(_kinds(second), [("b", "LeaseLost")])
+
+    def test_restarted_process_is_read_from_its_start(self):
+        for epoch in range(3):
+            self.other.timeline.record(events.LeaseGained(epoch))
+        first = self.asked.collector.collect()
+        restarted = Process("b", ahead_ms=0, peers=self.peers)
+        restarted.make_collector("b", "second", self.peers)
+        restarted.timeline.record(events.LeaseGained(9))
+        second = self.asked.collector.collect(cursors=first.cursors)
+        self.assertEqual(_kinds(second), [("b", "LeaseGained")])
+
+    def test_memory_and_answers_are_bounded(self):
+        for epoch in range(5000):
+            self.other.timeline.record(events.LeaseGained(epoch))
+        self.assertEqual(len(self.other.timeline.entries()), 4096)
+        found = self.asked.collector.collect(limit=100)
+        self.assertEqual(len(found.events), 33)
+        self.assertEqual(found.dropped, 5000 - 33)
+        self.assertEqual(
+            json.loads(found.events[-1].detail_json), {"epoch": 4999}
+        )
+
+    def test_part_of_the_time_line_is_asked_for_by_message(self):
+        part = self.other.collector.part(
+            messages.ReadTimeline(messages.EventCursor("b", "", 0), 5)
+        )
+        self.assertEqual((part.cursor.vm, part.events), ("b", ()))
+
+
+class RefusalBurstTest(unittest.TestCase):
+    """Events for many refusals are few."""
+
+    def setUp(self) -> None:
+        self.process = Process("a", ahead_ms=0, peers=fakes.MemoryPeers())
+        self.meter = meter.Meter(
+            clock=self.process.clock, timeline=self.process.timeline
+        )
+
+    def _refuse(self, times: int, pause_ms: int) -> list[events.Event]:
+        verdict = meter.verdict_of(
+            outcome.NotRun(outcome.Reason.OVERLOADED, "")
+        )
+        for _ in range(times):
+            self.meter.record("rezervace", verdict, 1000)
+            self.process.clock.advance(pause_ms)
+        return [e.event for e in self.process.timeline.entries()]
+
+    def test_single_refusals_are_no_event(self):
+        self.assertEqual(self._refuse(100, pause_ms=500), [])
+
+    def test_burst_is_one_event_in_ten_seconds(self):
+        found = self._refuse(5000, pause_ms=3)
+        self.assertEqual(len(found), 2)
+        self.assertEqual(found[0].refused, meter.BURST_REFUSALS)
+        self.assertGreater(found[1].refused, 3000)
+        self.assertEqual(found[0].reason, "overloaded")
+
+
+class RenderingTest(unittest.TestCase):
+    """Text and pictures of one loss."""
+
+    def setUp(self) -> None:
+        services = [{"service": "s", "owned": 4, "gained": 4, "lost": 0}]
+        rows = [
+            ("a", "LeaseGained", {"epoch": 1}),
+            ("a", "OwnersChanged", {"services": services}),
+            ("b", "MemberSuspected", {"vm": "a", "silent_ms": 1200}),
+            ("b", "MemberRevoked", {"vm": "a", "epoch": 1, "shards": 4}),
+            ("b", "RefusalBurst", {"service": "x" * 90, "reason": "<&"}),
+        ]
+        self.events = [
+            timeline_text.Event(
+                vm=vm,
+                sequence=number,
+                stamp=(1_000_000 + 700 * number) << stamp.COUNTER_BITS,
+                wall_ms=0,
+                kind=kind,
+                detail=detail,
+            )
+            for number, (vm, kind, detail) in enumerate(rows)
+        ]
+
+    def test_text_shows_what_happened(self):
+        line = timeline_text.line(self.events[1])
+        self.assertIn("OwnersChanged services=s/4/4/0", line)
+        for event in self.events[:4]:
+            self.assertLessEqual(len(timeline_text.line(event)), 80)
+
+    def test_picture_has_a_lane_for_each_vm(self):
+        picture = ElementTree.fromstring(timeline_picture.svg(self.events))
+        texts = [e.text for e in picture.iter() if e.tag.endswith("text")]
+        self.assertLessEqual({"a", "b"}, set(texts))
+        titles = [e.text for e in picture.iter() if e.tag.endswith("title")]
+        self.assertIn("lease held", titles)
+        self.assertTrue(any("MemberRevoked" in text for text in titles))
+
+    def test_page_needs_nothing_else(self):
+        page = timeline_picture.html(self.events)
+        self.assertNotIn("<script", page)
+        self.assertNotIn("src=", page)
+        self.assertIn("reason=&lt;&amp;", page)
+
+    def test_no_events_make_an_empty_picture(self):
+        ElementTree.fromstring(timeline_picture.svg([]))
