--- a/primrosecross/adapters/json_log.py
+++ b/primrosecross/adapters/json_log.py
@@ -16,7 +16,12 @@
 
 FIELDS = ("request_id", "key_hash", "service", "took_ms")
 WINDOW_S = 10.0
-MAX_IN_WINDOW = 50
+MAX_IN_WINDOW = {
+    logging.DEBUG: 1000,
+    logging.INFO: 50,
+    logging.WARNING: 10,
+    logging.ERROR: 10,
+}
 
 
 class JsonFormatter(logging.Formatter):
@@ -61,7 +66,7 @@
     logger, a level and a message before its arguments are put in.
 
     Args:
-        limit: Lines let through in each window.
+        limits: Lines let through in each window, by level.
         window_s: Length of a window.
         now_s: Source of monotonic time.
     """
@@ -69,12 +74,12 @@
     def __init__(
         self,
         *,
-        limit: int = MAX_IN_WINDOW,
+        limits: dict[int, int] = MAX_IN_WINDOW,
         window_s: float = WINDOW_S,
         now_s: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
-        self._limit = limit
+        self._limits = limits
         self._window_s = window_s
         self._now_s = now_s
         self._windows: dict[tuple[str, int, str], _Window] = {}
@@ -87,7 +92,7 @@
         if now_s - window.started_s >= self._window_s:
             window.started_s = now_s
             window.passed = 0
-        if window.passed >= self._limit:
+        if window.passed >= self._limits.get(record.levelno, 1):
             window.suppressed += 1
             return False
         window.passed += 1
--- a/primrosecross/adapters/operator_access.py
+++ b/primrosecross/adapters/operator_access.py
@@ -111,6 +111,16 @@
         self._key = files.key and WatchedFile(files.key)
         self._shown: tuple[bytes, bytes] = (b"", b"")
 
+    def check(self) -> None:
+        """Checks that all files can be read.
+
+        Raises:
+            errors.SettingsError: One cannot.
+        """
+        for file in (*self._tokens.values(), self._certificate, self._key):
+            if file is not None:
+                file.read()
+
     @property
     def open(self) -> bool:
         """Whether calls need no token."""
--- a/primrosecross/adapters/peer_codec.py
+++ b/primrosecross/adapters/peer_codec.py
@@ -19,6 +19,7 @@
 from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import messages
+from primrosecross.models import settings as settings_model
 
 MAX_FRAME_BYTES = 4 << 20
 MAX_ITEMS = 1 << 16
@@ -160,7 +161,7 @@
                 yield _frame(parts)
         except (ValueError, TypeError, msgpack.UnpackException) as error:
             raise errors.PeerProtocolError(
-                f"garbage on a peer connection: {error}",
+                f"garbage on a peer connection: {_problem(error)}",
                 remedy="check that both sides run compatible versions",
             ) from error
 
@@ -193,6 +194,13 @@
     )
 
 
+def _problem(error: Exception) -> str:
+    """Returns what is wrong without what was received, which may be private."""
+    if isinstance(error, pydantic.ValidationError):
+        return settings_model.describe(error)
+    return type(error).__name__
+
+
 def _frame(parts: object) -> Frame:
     if type(parts) is not tuple or len(parts) < 4:
         raise ValueError("not a frame")
--- a/primrosecross/commands/client.py
+++ b/primrosecross/commands/client.py
@@ -3,7 +3,6 @@
 import dataclasses
 import functools
 import inspect
-import os
 import pathlib
 from collections.abc import Callable
 from typing import Annotated
@@ -86,7 +85,6 @@
     """
 
     def __init__(self, access: Access) -> None:
-        os.environ.setdefault("GRPC_VERBOSITY", "NONE")
         self._access = access
         self._metadata = ()
         if access.token_file is not None:
--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -171,9 +171,9 @@
             self.node.sync.read_store()
         except errors.StoreError as error:
             _logger.warning(
-                "starting without the store: %s; this daemon serves nothing "
-                "of its own until the store answers, and tries again",
-                error,
+                "starting without the store: %s; this daemon owns nothing "
+                "until the store answers, and tries again",
+                error.problem,
             )
         self.node.start()
 
@@ -221,6 +221,7 @@
         _fail(EXIT_INVALID, "no settings file given; see --help")
     try:
         loaded = settings_model.load(settings)
+        operator_access.Access(_access_files(loaded.operator)).check()
     except errors.SettingsError as error:
         _fail(EXIT_INVALID, str(error))
     if check:
