Record members' changes at their witnesses too

Cause: in a trial the coordinator was the VM that was drained and then killed; its time line went with it, and nobody could read that it had been drained. An undrain in that moment failed, as the office had just changed hands. Change: a member and its witnesses record its changes as the assignment shows them; readers leave repeated reports out; commands to the coordinator, all idempotent, are tried again.

--- a/primrosecross/adapters/timeline_picture.py
+++ b/primrosecross/adapters/timeline_picture.py
@@ -24,7 +24,7 @@
 SHARDS_COLOUR = "#20508f"
 GRID_COLOUR = "#dddddd"
 MARK_COLOURS = {
-    "MemberSuspected": "#d98200",
+    "MemberRevoking": "#d98200",
     "MemberRevoked": "#c01c1c",
     "MemberDraining": "#7a3fb0",
     "MemberUndrained": "#7a3fb0",
--- a/primrosecross/commands/timeline.py
+++ b/primrosecross/commands/timeline.py
@@ -14,6 +14,7 @@
 from primrosecross.adapters import timeline_text
 from primrosecross.commands import client as client_module
 from primrosecross.commands import output
+from primrosecross.domain import observer
 from primrosecross.rpc import operator_pb2
 
 POLL_S = 1.0
@@ -53,7 +54,8 @@
     request = operator_pb2.ListEventsRequest(local=local, limit=limit)
     reply = client.call("ListEvents", request)
     _note_gaps(reply, set())
-    found = [_event(e) for e in reply.events]
+    repeats = observer.Repeats()
+    found = _without_repeats([_event(e) for e in reply.events], repeats)
     if form in pictures:
         render = {
             Format.SVG: timeline_picture.svg,
@@ -63,7 +65,7 @@
         return
     _write(found, form)
     if follow:
-        _follow(client, request, reply, form)
+        _follow(client, request, reply, form, repeats)
 
 
 def _follow(
@@ -71,6 +73,7 @@
     request: operator_pb2.ListEventsRequest,
     reply: operator_pb2.ListEventsReply,
     form: Format,
+    repeats: observer.Repeats,
 ) -> None:
     """Writes new events until interrupted.
 
@@ -89,10 +92,17 @@
             known_missing = _note_gaps(reply, known_missing)
             held += [_event(e) for e in reply.events]
             held.sort(key=lambda event: event.stamp)
-            _write([e for e in held if e.stamp <= newest], form)
+            due = [e for e in held if e.stamp <= newest]
+            _write(_without_repeats(due, repeats), form)
             held = [e for e in held if e.stamp > newest]
     except KeyboardInterrupt:
-        _write(held, form)
+        _write(_without_repeats(held, repeats), form)
+
+
+def _without_repeats(
+    found: list[timeline_text.Event], repeats: observer.Repeats
+) -> list[timeline_text.Event]:
+    return [e for e in found if not repeats.is_repeat(e.kind, e.detail)]
 
 
 def _event(entry: operator_pb2.EventEntry) -> timeline_text.Event:
--- a/primrosecross/domain/collector.py
+++ b/primrosecross/domain/collector.py
@@ -13,6 +13,7 @@
 from primrosecross.domain import events
 from primrosecross.domain import fanout
 from primrosecross.domain import messages
+from primrosecross.domain import observer
 from primrosecross.domain import state as state_module
 from primrosecross.ports import peers as peers_port
 
@@ -158,6 +159,12 @@
             else:
                 missing.append(Missing(vm, self._problem(vm, part)))
         merged.sort(key=lambda e: (e.stamp, e.vm, e.sequence))
+        repeats = observer.Repeats()
+        merged = [
+            e
+            for e in merged
+            if not repeats.is_repeat(e.kind, json.loads(e.detail_json))
+        ]
         dropped += max(0, len(merged) - limit)
         return Collected(
             events=tuple(merged[-limit:]),
--- a/primrosecross/domain/events.py
+++ b/primrosecross/domain/events.py
@@ -30,12 +30,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class MemberSuspected:
-    """A member's heartbeats stopped."""
+class MemberRevoking:
+    """A member is suspected; its witnesses are asked to refuse its lease."""
 
     vm: str
     epoch: int
-    silent_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -179,7 +178,7 @@
     LeaseGained
     | LeaseLost
     | MemberJoined
-    | MemberSuspected
+    | MemberRevoking
     | MemberRevoked
     | MemberDraining
     | MemberUndrained
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -20,6 +20,7 @@
 from primrosecross.domain import membership as membership_module
 from primrosecross.domain import messages
 from primrosecross.domain import meter as meter_module
+from primrosecross.domain import observer as observer_module
 from primrosecross.domain import office as office_module
 from primrosecross.domain import operations as operations_module
 from primrosecross.domain import replies
@@ -150,6 +151,9 @@
         self.metered_router = meter_module.MeteredRouter(
             router=self.router, state=self.state, meter=self.meter, clock=clock
         )
+        self._observer = observer_module.Observer(
+            state=self.state, timeline=timeline
+        )
         self.collector = collector_module.Collector(
             vm=vm,
             incarnation=identity.incarnation,
--- a/primrosecross/domain/operations.py
+++ b/primrosecross/domain/operations.py
@@ -1,5 +1,6 @@
 """What operators can ask for, independent of how the calls arrive."""
 
+import contextlib
 import dataclasses
 from collections.abc import Callable
 
@@ -15,7 +16,8 @@
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import peers as peers_port
 
-COORDINATOR_TIMEOUT_MS = 3000
+COORDINATOR_TIMEOUT_MS = 1500
+COMMAND_ATTEMPTS = 5
 PROBE_TIMEOUT_MS = 1000
 PROBES_TIMEOUT_MS = 3000
 MAX_PLANS_LISTED = 9
@@ -201,7 +203,7 @@
             errors.NotFoundError: No such member.
         """
         self._check_member(vm)
-        self._office.tell(messages.Drain(vm), timeout_ms=COORDINATOR_TIMEOUT_MS)
+        self._command(messages.Drain(vm))
 
     def undrain(self, vm: str) -> None:
         """Takes a leaving member back.
@@ -210,9 +212,23 @@
             errors.NotFoundError: No such member.
         """
         self._check_member(vm)
-        self._office.tell(
-            messages.Undrain(vm), timeout_ms=COORDINATOR_TIMEOUT_MS
-        )
+        self._command(messages.Undrain(vm))
+
+    def _command(self, message: messages.Message) -> messages.Message:
+        """Tells the coordinator something idempotent.
+
+        The office may have just changed hands, so it is tried again.
+
+        Raises:
+            errors.StoreError: The store does not say who is in office.
+            errors.PeerError: The coordinator did not answer.
+        """
+        for _ in range(COMMAND_ATTEMPTS - 1):
+            with contextlib.suppress(errors.PeerError):
+                return self._office.tell(
+                    message, timeout_ms=COORDINATOR_TIMEOUT_MS
+                )
+        return self._office.tell(message, timeout_ms=COORDINATOR_TIMEOUT_MS)
 
     def _check_member(self, vm: str) -> None:
         if vm not in self._state.assignment.members:
