--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -9,6 +9,7 @@
 
 from primrosecross.adapters import operator_access
 from primrosecross.adapters import peer_connection
+from primrosecross.domain import assignment
 from primrosecross.domain import collector as collector_module
 from primrosecross.domain import errors
 from primrosecross.domain import lease as lease_module
@@ -168,6 +169,31 @@
             received_bytes=self._traffic.received_bytes,
         )
 
+    @_translates
+    def ListQuarantined(self, request):  # noqa: N802
+        """Returns the requests under suspicion, without what they hold."""
+        del request
+        return operator_pb2.ListQuarantinedReply(
+            requests=[
+                operator_pb2.QuarantinedRequest(
+                    fingerprint=s.fingerprint,
+                    service=s.service,
+                    key_hash=f"{assignment.hash_key(s.service, s.key):016x}",
+                    method=s.method,
+                    crashes=s.crashes,
+                    refused=s.refused,
+                    expires_ms=s.expires_ms,
+                )
+                for s in self._operations.quarantined()
+            ]
+        )
+
+    @_translates
+    def ReleaseQuarantined(self, request):  # noqa: N802
+        """Lets a request run again."""
+        self._operations.release_quarantined(request.fingerprint)
+        return operator_pb2.ReleaseQuarantinedReply()
+
     @_translates
     def ListEvents(self, request):  # noqa: N802
         """Returns the time line."""
--- a/primrosecross/commands/quarantine.py
+++ b/primrosecross/commands/quarantine.py
@@ -1,6 +1,5 @@
 """Commands about requests that are not run again."""
 
-import time
 from typing import Annotated
 
 import typer
@@ -9,6 +8,8 @@
 from primrosecross.commands import output
 from primrosecross.rpc import operator_pb2
 
+MS_PER_S = 1000
+
 
 @client_module.connected
 def show(
@@ -18,14 +19,15 @@
     reply = client.call(
         "ListQuarantined", operator_pb2.ListQuarantinedRequest()
     )
-    now_ms = time.time_ns() // 1_000_000
     rows = [
         {
-            "request_id": item.request_id,
+            "fingerprint": item.fingerprint,
             "service": item.service,
             "key_hash": item.key_hash,
-            "crashed": list(item.crashed),
-            "age_s": max(0, now_ms - item.since_wall_ms) // 1000,
+            "method": item.method,
+            "crashes": item.crashes,
+            "refused": item.refused,
+            "expires_s": item.expires_ms // MS_PER_S,
         }
         for item in reply.requests
     ]
@@ -35,9 +37,9 @@
 @client_module.connected
 def release(
     client: client_module.Client,
-    request_id: Annotated[str, typer.Argument(help="As listed.")],
+    fingerprint: Annotated[str, typer.Argument(help="As listed.")],
 ) -> None:
     """Lets a request run again that was blamed wrongly."""
-    request = operator_pb2.ReleaseQuarantinedRequest(request_id=request_id)
+    request = operator_pb2.ReleaseQuarantinedRequest(fingerprint=fingerprint)
     client.call("ReleaseQuarantined", request)
-    typer.echo(f"{request_id} may run again")
+    typer.echo(f"{fingerprint} may run again")
