Measure load at owners, report it on change, hand over by key

Running requests are counted by key hash: counted by shard, a request begun under a partition did not hold back its key once that was set apart, and the key moved while the request ran.

--- a/primrosecross/domain/balance.py
+++ b/primrosecross/domain/balance.py
@@ -6,10 +6,12 @@
 from primrosecross.domain import demand as demand_module
 from primrosecross.domain import hot_keys
 from primrosecross.domain import lease as lease_module
+from primrosecross.domain import messages
 from primrosecross.domain import plan
 from primrosecross.domain import shares as shares_module
 from primrosecross.ports import clock as clock_port
 
+KEY_HASH_MASK = assignment.KEY_SHARD_BIT - 1
 OUTER_BAND = 0.10
 INNER_BAND = 0.04
 REST_MS = 30_000
@@ -50,6 +52,33 @@
         """Returns what is known of a service's load."""
         return self._demand.setdefault(service, demand_module.Demand())
 
+    def take_report(
+        self, report: messages.LoadReport, current: assignment.Assignment
+    ) -> bool:
+        """Takes in an owner's report; returns whether it names a hot key.
+
+        Rates of shards that the sender no longer owns are left out.
+        """
+        table = current.tables.get(report.service)
+        if table is None:
+            return False
+        demand = self.demand_of(report.service)
+        hot = False
+        for shard, rate in zip(report.shards, report.rates, strict=False):
+            if not shard & assignment.KEY_SHARD_BIT:
+                if table.grant_of(shard).vm == report.vm:
+                    demand.record(shard, rate)
+                continue
+            owner = table.grant_of(table.shard_of_hash(shard & KEY_HASH_MASK))
+            if owner.vm != report.vm:
+                continue
+            if rate or shard in table.key_grants:
+                demand.record(shard, rate)
+                hot = hot or shard not in table.key_grants
+            else:
+                demand.forget(shard)
+        return hot
+
     def assign(
         self, service: plan.Service, draft: assignment.Assignment
     ) -> int:
--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/coordinator.py
@@ -101,6 +101,7 @@
         self._take.register(messages.Drain, self._take_in)
         self._take.register(messages.Undrain, self._take_in)
         self._take.register(messages.Move, self._take_in)
+        self._take.register(messages.LoadReport, self._take_load)
         self._take.register(messages.ListConfirmed, self._list_confirmed)
         self.confirmed: dict[str, messages.Confirm] = {}
 
@@ -168,6 +169,21 @@
             return messages.Done()
         return self._take_in(confirm)
 
+    def _take_load(self, report: messages.LoadReport) -> messages.Message:
+        member = self._state.assignment.members.get(report.vm)
+        if member is None or member.epoch != report.epoch:
+            return messages.Failure(
+                f"{report.vm} is no member of epoch {report.epoch}",
+                "read the assignment again",
+            )
+        if self._balancer.take_report(report, self._state.assignment):
+            self._wake.set()
+        term = f"{self._vm}/{self._election.term_number}"
+        hot_rate = self._balancer.hot_rate(
+            report.service, self._state.assignment
+        )
+        return messages.LoadAck(coordinator=term, hot_rate=round(hot_rate))
+
     def _list_confirmed(self, _: messages.ListConfirmed) -> messages.Message:
         return messages.Confirmed(self._vm, tuple(self.confirmed.values()))
 
@@ -219,6 +235,7 @@
         self._term_number = self._election.term_number
         self._store_version = ""
         self._suspicions = {}
+        self._balancer = balance.Balancer(clock=self._clock)
         self.confirmed = {}
 
     def _read_assignment(self) -> None:
--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -1,19 +1,14 @@
 """Owner's side of a request: checks ownership, then runs it on a target."""
 
-import collections
-
-import gevent
-
 from primrosecross.domain import admission as admission_module
 from primrosecross.domain import assignment
 from primrosecross.domain import attempts as attempts_module
-from primrosecross.domain import errors
+from primrosecross.domain import handover
 from primrosecross.domain import holders
 from primrosecross.domain import identity
 from primrosecross.domain import lease as lease_module
+from primrosecross.domain import load_reports
 from primrosecross.domain import long_work
-from primrosecross.domain import messages
-from primrosecross.domain import office as office_module
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
 from primrosecross.domain import quarantine as quarantine_module
@@ -23,8 +18,6 @@
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import target as target_port
 
-RELEASE_PAUSE_MS = 50
-RELEASE_TIMEOUT_MS = 2000
 NOT_OWNER_RETRY_MS = 100
 
 
@@ -40,7 +33,8 @@
         vm: This VM's name.
         state: Assignment in force here.
         lease: This daemon's lease.
-        office: Reaches the coordinator.
+        hand_over: Counts what runs, and releases shards.
+        load: Measures the load.
         attempts: Keeps identified requests to one run.
         quarantine: Knows requests that crash targets.
         targets: Targets on this VM.
@@ -53,7 +47,8 @@
         vm: str,
         state: state_module.State,
         lease: lease_module.Lease,
-        office: office_module.Office,
+        hand_over: handover.HandOver,
+        load: load_reports.LoadReporter,
         attempts: attempts_module.Attempts,
         quarantine: quarantine_module.Quarantine,
         targets: target_port.Targets,
@@ -62,16 +57,14 @@
         self._vm = vm
         self._state = state
         self._lease = lease
-        self._office = office
+        self._hand_over = hand_over
+        self._load = load
         self._attempts = attempts
         self._quarantine = quarantine
         self._targets = targets
         self._admission = admission_module.Admission(clock=clock)
         self._long_work = long_work.LongWorkTracker()
         self._clock = clock
-        self._in_flight: collections.Counter[tuple[str, int]] = (
-            collections.Counter()
-        )
         self.announced: dict[str, target_port.Announcement] = {}
 
     def execute(self, req: request.Request) -> outcome.Outcome:
@@ -144,13 +137,12 @@
         if not service.keyed:
             fence = target_port.Fence(0, 0)
             return self._targets.run(announcement, req, fence)
-        shard, grant = self._state.assignment.grant_for(req.service, req.key)
+        _, grant = self._state.assignment.grant_for(req.service, req.key)
         fence = target_port.Fence(grant.generation, self._lease.expires_ns())
-        self._in_flight[req.service, shard] += 1
-        try:
+        key_hash = assignment.hash_key(req.service, req.key)
+        self._load.record(req.service, key_hash)
+        with self._hand_over.running(req.service, key_hash):
             return self._targets.run(announcement, req, fence)
-        finally:
-            self._in_flight[req.service, shard] -= 1
 
     def _record_duration(
         self,
@@ -214,42 +206,7 @@
 
     def in_flight(self) -> int:
         """Returns the keyed requests that run on targets now."""
-        return self._in_flight.total()
-
-    def hand_over(self) -> None:
-        """Releases shards that are to move, once they are idle."""
-        while True:
-            self._clock.sleep(RELEASE_PAUSE_MS)
-            member = self._state.member()
-            if member is None or member.epoch != self._lease.epoch:
-                continue
-            for table in self._state.assignment.tables.values():
-                idle = tuple(
-                    shard
-                    for shard in table.moves
-                    if table.grant_of(shard).vm == self._vm
-                    and not self._in_flight[table.service, shard]
-                )
-                if idle:
-                    self._release(member.epoch, table, idle)
-
-    def _release(
-        self,
-        epoch: int,
-        table: assignment.OwnerTable,
-        shards: tuple[int, ...],
-    ) -> None:
-        release = messages.Release(
-            vm=self._vm,
-            epoch=epoch,
-            service=table.service,
-            shards=shards,
-            generations=tuple(table.grant_of(s).generation for s in shards),
-        )
-        try:
-            self._office.tell(release, timeout_ms=RELEASE_TIMEOUT_MS)
-        except (errors.StoreError, errors.PeerError):
-            gevent.sleep(RELEASE_PAUSE_MS / 1000)
+        return self._hand_over.total()
 
 
 def _not_owner(detail: str) -> outcome.NotRun:
--- /dev/null
+++ b/primrosecross/domain/handover.py
@@ -0,0 +1,124 @@
+"""Hands shards over that are to move, once nothing of them runs here."""
+
+import collections
+import contextlib
+from collections.abc import Iterator
+
+from gevent import event as gevent_event
+
+from primrosecross.domain import assignment
+from primrosecross.domain import errors
+from primrosecross.domain import lease as lease_module
+from primrosecross.domain import messages
+from primrosecross.domain import office as office_module
+from primrosecross.domain import state as state_module
+from primrosecross.ports import clock as clock_port
+
+RELEASE_PAUSE_MS = 50
+RELEASE_TIMEOUT_MS = 2000
+IDLE_MS = 1000
+
+
+class HandOver:
+    """Knows which keys requests run for, and releases idle shards.
+
+    Requests are counted by key and not by shard, since a key may be set
+    apart from its partition while its request runs.
+
+    Args:
+        vm: This VM's name.
+        state: Assignment in force here.
+        lease: This daemon's lease.
+        office: Reaches the coordinator.
+        clock: Clock that counts time spent suspended.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        state: state_module.State,
+        lease: lease_module.Lease,
+        office: office_module.Office,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._vm = vm
+        self._state = state
+        self._lease = lease
+        self._office = office
+        self._clock = clock
+        self._running: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self._wake = gevent_event.Event()
+        state.subscribe(self._wake.set)
+
+    @contextlib.contextmanager
+    def running(self, service: str, key_hash: int) -> Iterator[None]:
+        """Counts a request of a key as running."""
+        entry = service, key_hash
+        self._running[entry] += 1
+        try:
+            yield
+        finally:
+            self._running[entry] -= 1
+            if not self._running[entry]:
+                del self._running[entry]
+
+    def total(self) -> int:
+        """Returns the keyed requests that run now."""
+        return self._running.total()
+
+    def run(self) -> None:
+        """Releases shards until killed."""
+        while True:
+            self._wake.wait(timeout=IDLE_MS / 1000)
+            self._wake.clear()
+            while self.release_idle():
+                self._clock.sleep(RELEASE_PAUSE_MS)
+
+    def release_idle(self) -> int:
+        """Releases idle shards that are to move; returns how many are to."""
+        member = self._state.member()
+        if member is None or member.epoch != self._lease.epoch:
+            return 0
+        leaving = 0
+        for service in list(self._state.assignment.tables):
+            table = self._state.assignment.tables.get(service)
+            if table is None:
+                continue
+            shards = self._to_release(table)
+            leaving += len(shards)
+            busy = self._busy(table) if shards else set()
+            idle = tuple(shard for shard in shards if shard not in busy)
+            if idle:
+                self._release(member.epoch, table, idle)
+        return leaving
+
+    def _to_release(self, table: assignment.OwnerTable) -> list[int]:
+        return [s for s in table.moves if table.grant_of(s).vm == self._vm]
+
+    def _busy(self, table: assignment.OwnerTable) -> set[int]:
+        return {
+            table.shard_of_hash(key_hash)
+            for service, key_hash in self._running
+            if service == table.service
+        }
+
+    def _release(
+        self,
+        epoch: int,
+        table: assignment.OwnerTable,
+        shards: tuple[int, ...],
+    ) -> None:
+        release = messages.Release(
+            vm=self._vm,
+            epoch=epoch,
+            service=table.service,
+            shards=shards,
+            generations=tuple(table.grant_of(s).generation for s in shards),
+        )
+        try:
+            self._office.tell(release, timeout_ms=RELEASE_TIMEOUT_MS)
+        except (errors.StoreError, errors.PeerError):
+            self._clock.sleep(RELEASE_PAUSE_MS)
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -312,6 +312,36 @@
     vm: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Tells the coordinator of an owner's load; answered by LoadAck.
+
+    Attributes:
+        shards: Shards whose rate changed, and hot keys not set apart yet.
+        rates: Requests per second of each.
+    """
+
+    vm: str
+    epoch: int
+    service: str
+    shards: tuple[int, ...]
+    rates: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadAck:
+    """Answer to a load report.
+
+    Attributes:
+        coordinator: Who holds the office, and its term; another one has to
+            be told everything again.
+        hot_rate: Requests per second from which on a key is to be reported.
+    """
+
+    coordinator: str
+    hot_rate: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListConfirmed:
     """Asks the coordinator what members confirmed; answered by Confirmed."""
@@ -508,6 +538,8 @@
     | ReadTimeline
     | TimelinePart
     | Move
+    | LoadReport
+    | LoadAck
     | ListConfirmed
     | Confirmed
     | FetchState
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -15,8 +15,10 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import executor as executor_module
+from primrosecross.domain import handover
 from primrosecross.domain import holders as holders_module
 from primrosecross.domain import lease as lease_module
+from primrosecross.domain import load_reports
 from primrosecross.domain import membership as membership_module
 from primrosecross.domain import messages
 from primrosecross.domain import meter as meter_module
@@ -139,11 +141,22 @@
             clock=clock,
             timeline=timeline,
         )
-        self.executor = executor_module.Executor(
+        self.hand_over = handover.HandOver(
             vm=vm,
             state=self.state,
             lease=self.lease,
             office=self.office,
+            clock=clock,
+        )
+        self.load = load_reports.LoadReporter(
+            vm=vm, state=self.state, office=self.office, clock=clock
+        )
+        self.executor = executor_module.Executor(
+            vm=vm,
+            state=self.state,
+            lease=self.lease,
+            hand_over=self.hand_over,
+            load=self.load,
             attempts=self.attempts,
             quarantine=self.quarantine,
             targets=ports.targets,
@@ -254,7 +267,8 @@
             self.coordinator.run,
             self.membership.run,
             self.membership.watch_others,
-            self.executor.hand_over,
+            self.hand_over.run,
+            self.load.run,
             self.ring.run,
             self.quarantine.run,
             self._watch_plan,
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -11,8 +11,10 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import executor
+from primrosecross.domain import handover
 from primrosecross.domain import holders
 from primrosecross.domain import lease
+from primrosecross.domain import load_reports
 from primrosecross.domain import messages
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
@@ -174,7 +176,16 @@
             vm=name,
             state=present,
             lease=held,
-            office=None,
+            hand_over=handover.HandOver(
+                vm=name,
+                state=present,
+                lease=held,
+                office=None,
+                clock=self.clock,
+            ),
+            load=load_reports.LoadReporter(
+                vm=name, state=present, office=None, clock=self.clock
+            ),
             attempts=tried,
             quarantine=suspects,
             targets=targets,
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -174,6 +174,133 @@
         self.assertIn(self.table.grant_of(self.shard).vm, self.present.members)
 
 
+class LoadTest(BalanceCase):
+    """Rates move shards; hot keys are set apart and brought back."""
+
+    def report(self, rates: dict[int, float]) -> bool:
+        """Has each owner report the rates of its shards."""
+        by_vm: dict[str, dict[int, int]] = {}
+        for shard, rate in rates.items():
+            under = shard
+            if shard & assignment.KEY_SHARD_BIT:
+                under = self.table.shard_of_hash(
+                    shard & ~assignment.KEY_SHARD_BIT
+                )
+            owner = self.table.grant_of(under).vm
+            by_vm.setdefault(owner, {})[shard] = round(rate)
+        return any(
+            [
+                self.balancer.take_report(
+                    messages.LoadReport(
+                        vm=vm,
+                        epoch=1,
+                        service=assignments.SERVICE,
+                        shards=tuple(rows),
+                        rates=tuple(rows.values()),
+                    ),
+                    self.present,
+                )
+                for vm, rows in by_vm.items()
+            ]
+        )
+
+    def imbalance(self, rates: dict[int, float]) -> float:
+        loads = collections.Counter()
+        for shard, rate in rates.items():
+            loads[self.table.grant_of(shard).vm] += rate
+        return max(loads.values()) / (sum(loads.values()) / self.members)
+
+    def test_uneven_partitions_are_evened_out(self):
+        rates = {p: 100 * (1 + p % 8) for p in range(PARTITIONS)}
+        self.report(rates)
+        self.assertGreater(self.settle(), 0)
+        self.assertLessEqual(self.imbalance(rates), MAX_IMBALANCE)
+
+    def test_shards_rest_between_moves(self):
+        before = self.owners()
+        rates = {p: 100 * (1 + p % 8) for p in range(PARTITIONS)}
+        self.report(rates)
+        self.settle()
+        moved = {p for p, vm in self.owners().items() if before[p] != vm}
+        self.report({p: 900 if p in moved else 100 for p in before})
+        self.step()
+        self.assertFalse(moved & self.table.moves.keys())
+        self.clock.advance(31_000)
+        self.step()
+        self.assertTrue(moved & self.table.moves.keys())
+
+    def test_even_load_moves_nothing(self):
+        self.report(dict.fromkeys(range(PARTITIONS), 100))
+        self.assertEqual(self.settle(), 0)
+
+    def test_hot_keys_of_one_partition_part_without_their_neighbours(self):
+        """Two keys, each too light for a member, too heavy for one together."""
+        first = self.key_shard("hawser-24mm")
+        partition = self.table.partition_under(first)
+        second = first + PARTITIONS
+        grant = self.table.grant_of(partition)
+        rates = dict.fromkeys(range(PARTITIONS), 100)
+        rates[partition] += 3000
+        self.assertTrue(self.report({**rates, first: 1500, second: 1500}))
+        self.step()
+        self.assertEqual(self.table.grant_of(first), grant)
+        self.assertEqual(len({first, second} & self.table.moves.keys()), 1)
+        assignments.finish_moves(self.present)
+        vms = {self.table.grant_of(shard).vm for shard in (first, second)}
+        self.assertEqual(len(vms), 2)
+        self.assertEqual(self.table.grant_of(partition), grant)
+
+    def test_cooled_key_is_merged_back_under_a_newer_generation(self):
+        shard = self.key_shard("hawser-24mm")
+        partition = self.table.partition_under(shard)
+        rates = dict.fromkeys(range(PARTITIONS), 100)
+        self.report({**rates, shard: 3000})
+        self.settle()
+        generation = self.table.grant_of(shard).generation
+        self.report({**rates, shard: 10})
+        self.settle()
+        self.assertIn(shard, self.table.key_grants)
+        self.clock.advance(61_000)
+        self.settle()
+        self.assertNotIn(shard, self.table.key_grants)
+        self.assertGreater(
+            self.table.grant_of(partition).generation, generation
+        )
+
+    def test_no_key_leaves_a_partition_that_is_handed_over(self):
+        shard = self.key_shard("hawser-24mm")
+        partition = self.table.partition_under(shard)
+        owner = self.table.grant_of(partition).vm
+        self.replace(owner, state=LEAVING)
+        self.step()
+        self.report({shard: 9000})
+        self.step()
+        self.assertNotIn(shard, self.table.key_grants)
+
+    def test_pinned_key_stays_until_released(self):
+        key = "booking-7"
+        shard = self.key_shard(key)
+        vm = next(
+            vm
+            for vm in self.present.members
+            if vm != self.table.grant_of(self.table.shard_of(key)).vm
+        )
+        pin = messages.Move(assignments.SERVICE, key, vm)
+        self.assertEqual(self.apply(pin), 1)
+        self.settle()
+        self.assertEqual(self.table.grant_of(shard).vm, vm)
+        self.clock.advance(61_000)
+        self.settle()
+        self.clock.advance(61_000)
+        self.settle()
+        self.assertEqual(self.table.grant_of(shard).vm, vm)
+        self.apply(dataclasses.replace(pin, vm=""))
+        self.settle()
+        self.clock.advance(61_000)
+        self.settle()
+        self.assertNotIn(shard, self.table.key_grants)
+
+
 class WitnessChoiceTest(unittest.TestCase):
     """Witnesses spread over places."""
 
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,194 @@
+"""Measuring load at the owner, reporting it, and releasing idle shards."""
+
+import collections
+import random
+import unittest
+
+from primrosecross.domain import assignment
+from primrosecross.domain import events
+from primrosecross.domain import handover
+from primrosecross.domain import lease
+from primrosecross.domain import load
+from primrosecross.domain import load_reports
+from primrosecross.domain import messages
+from primrosecross.domain import stamp
+from primrosecross.domain import state
+from tests import assignments
+from tests import fakes
+
+PARTITIONS = 64
+VM = "vm-0"
+SEED = 20
+
+
+class _Office:
+    """A coordinator that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list[messages.Message] = []
+
+    def tell(
+        self, message: messages.Message, *, timeout_ms: int
+    ) -> messages.Message:
+        del timeout_ms
+        self.told.append(message)
+        if isinstance(message, messages.LoadReport):
+            return messages.LoadAck(coordinator="vm-1/1", hot_rate=100)
+        return messages.Done()
+
+
+class OwnerCase(unittest.TestCase):
+    """One member that owns all shards."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.ManualClock()
+        self.office = _Office()
+        timeline = events.Timeline(
+            vm=VM, clock=self.clock, stamps=stamp.StampClock(clock=self.clock)
+        )
+        self.state = state.State(vm=VM, timeline=timeline)
+        self.present = assignments.cluster(2)
+        table = assignment.OwnerTable.empty(assignments.SERVICE, PARTITIONS)
+        for partition in range(PARTITIONS):
+            table.set_owner(partition, VM, 1)
+        self.present.tables[assignments.SERVICE] = table
+        self.state.offer_assignment(self.present)
+
+    @property
+    def table(self) -> assignment.OwnerTable:
+        return self.present.tables[assignments.SERVICE]
+
+    def change(self) -> None:
+        self.present = assignments.next_version(self.present)
+
+
+class MeterTest(OwnerCase):
+    """Rates and hot keys in bounded memory."""
+
+    def test_rates_and_hot_keys_of_a_sampled_stream(self):
+        random.seed(SEED)
+        meter = load.LoadMeter()
+        hot = assignment.hash_key(assignments.SERVICE, "hawser-24mm")
+        for _ in range(5):
+            for number in range(18_000):
+                meter.record(random.getrandbits(63))
+                if number % 9 == 0:
+                    meter.record(hot)
+            meter.tick(self.table, VM, 1.0)
+        total = sum(meter.shard_rates().values())
+        self.assertAlmostEqual(total / 20_000, 1, delta=0.03)
+        found = meter.hot_keys(1000)
+        shard = hot | assignment.KEY_SHARD_BIT
+        self.assertEqual(list(found), [shard])
+        self.assertAlmostEqual(found[shard] / 2000, 1, delta=0.2)
+
+    def test_space_saving_counts_nothing_that_was_not_there(self):
+        sketch = load.SpaceSaving(counters=8)
+        seen = collections.Counter()
+        rng = random.Random(SEED)
+        for _ in range(5000):
+            key = min(rng.getrandbits(10), rng.getrandbits(4))
+            sketch.add(key, 1)
+            seen[key] += 1
+        for key, count in sketch.certain().items():
+            self.assertLessEqual(count, seen[key])
+
+
+class ReportTest(OwnerCase):
+    """What is sent to the coordinator."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.reporter = load_reports.LoadReporter(
+            vm=VM, state=self.state, office=self.office, clock=self.clock
+        )
+
+    def serve(self, seconds: int, *, hot: int = 0, each: int = 20) -> None:
+        hot_hash = assignment.hash_key(assignments.SERVICE, "hot")
+        for _ in range(seconds):
+            for partition in range(PARTITIONS):
+                for _ in range(each):
+                    self.reporter.record(assignments.SERVICE, partition)
+            for _ in range(hot):
+                self.reporter.record(assignments.SERVICE, hot_hash)
+            self.clock.advance(1000)
+            self.reporter.tick(1.0)
+
+    def test_steady_load_is_reported_once(self):
+        self.serve(20)
+        self.assertEqual(len(self.office.told), 1)
+        self.assertEqual(len(self.office.told[0].shards), PARTITIONS)
+
+    def test_key_that_becomes_hot_is_reported_within_two_seconds(self):
+        self.serve(10)
+        before = len(self.office.told)
+        self.serve(2, hot=500)
+        reports = self.office.told[before:]
+        shard = (
+            assignment.hash_key(assignments.SERVICE, "hot")
+            | assignment.KEY_SHARD_BIT
+        )
+        self.assertTrue(any(shard in report.shards for report in reports))
+
+    def test_reports_keep_to_their_share_of_the_budget(self):
+        for number in range(2, 620):
+            member = assignments.member(number)
+            self.present.members[member.vm] = member
+        for second in range(60):
+            self.serve(1, each=10 + 30 * (second % 2))
+        size = sum(
+            load_reports.HEADER_BYTES
+            + load_reports.ROW_BYTES * len(report.shards)
+            for report in self.office.told
+        )
+        largest = (
+            load_reports.HEADER_BYTES
+            + load_reports.ROW_BYTES * load_reports.MAX_ROWS
+        )
+        budget = load_reports.CLUSTER_BYTES_S / 620 * 60
+        self.assertGreater(len(self.office.told), 1)
+        self.assertLessEqual(size, budget + largest)
+
+
+class HandOverTest(OwnerCase):
+    """Shards are released only when nothing of them runs."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        held = lease.Lease(clock=self.clock, timing=lease.LeaseTiming())
+        held.start(epoch=1, witnesses=("vm-1",), proven_ns=0)
+        self.hand_over = handover.HandOver(
+            vm=VM,
+            state=self.state,
+            lease=held,
+            office=self.office,
+            clock=self.clock,
+        )
+        self.key_hash = assignment.hash_key(assignments.SERVICE, "booking-1")
+        self.partition = self.key_hash % PARTITIONS
+
+    def released(self) -> set[int]:
+        self.office.told.clear()
+        self.hand_over.release_idle()
+        return {shard for told in self.office.told for shard in told.shards}
+
+    def test_busy_partition_waits_for_its_request(self):
+        self.change()
+        self.table.moves = {self.partition: "vm-1", 1: "vm-1", 2: "vm-1"}
+        self.state.offer_assignment(self.present)
+        with self.hand_over.running(assignments.SERVICE, self.key_hash):
+            self.assertEqual(self.released(), {1, 2})
+        self.assertEqual(self.released(), {self.partition, 1, 2})
+
+    def test_key_set_apart_while_its_request_runs(self):
+        """The request began under the partition; the key must not move."""
+        shard = self.key_hash | assignment.KEY_SHARD_BIT
+        with self.hand_over.running(assignments.SERVICE, self.key_hash):
+            self.change()
+            self.table.set_apart(shard)
+            self.state.offer_assignment(self.present)
+            self.change()
+            self.table.moves = {shard: "vm-1"}
+            self.state.offer_assignment(self.present)
+            self.assertEqual(self.released(), set())
+        self.assertEqual(self.released(), {shard})
