Decide exactly when a target may have run a request

Cause: the HTTP client sends again by itself when a kept connection closes (PUT and DELETE too, whatever the service declares), so a cancellation could run many times; a cut answer raised into the request's task; an answer without a length counted as whole; a deadline did not end the wait; a full pool waited without bound. Ruled out: the client's own request(), as its resend cannot be switched off; its pool and its answer parser are kept. Change: not run until the first byte is handed to a connection, unknown from then until the whole answer is there. A kept connection that ends before any byte of an answer is tried again once for idempotent requests only. Answers above 64 KB are streamed. The target is told when the deadline passes or the task is killed (cancel_path of its announcement). Pools are as large as the target announces, 110 by default.

--- a/primrosecross/adapters/announce_http.py
+++ b/primrosecross/adapters/announce_http.py
@@ -11,6 +11,7 @@
 from primrosecross.ports import target as target_port
 
 MAX_BODY_BYTES = 16 * 1024
+_PATH = r"^(/[!-~]{0,255})?$"
 
 
 class AnnouncementModel(pydantic.BaseModel):
@@ -22,6 +23,12 @@
     address: str = pydantic.Field(pattern=r"^[0-9.]+:\d{1,5}$")
     slots: int = pydantic.Field(ge=1, le=10_000)
     checks_generation: bool = False
+    connections: int = pydantic.Field(
+        default=target_port.DEFAULT_CONNECTIONS, ge=1, le=10_000
+    )
+    cancel_path: str = pydantic.Field(default="", pattern=_PATH)
+    health_path: str = pydantic.Field(default="", pattern=_PATH)
+    load_path: str = pydantic.Field(default="", pattern=_PATH)
 
 
 class AnnounceServer:
--- a/primrosecross/adapters/target_http.py
+++ b/primrosecross/adapters/target_http.py
@@ -1,10 +1,19 @@
 """Targets over HTTP, on this VM."""
 
+import contextlib
+import logging
+from collections.abc import Iterator
+
 import gevent
 import geventhttpclient
+from gevent import pool as gevent_pool
 from gevent import socket as gevent_socket
+from geventhttpclient import connectionpool
 from geventhttpclient import response as http_response
 
+from primrosecross.adapters import target_answer
+from primrosecross.domain import body
+from primrosecross.domain import errors
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import outcome
 from primrosecross.domain import request
@@ -18,17 +27,48 @@
 TIMEOUT_HEADER = "Primrosecross-Timeout-Ms"
 NOT_RUN_HEADER = "Primrosecross-Not-Run"
 CONNECT_TIMEOUT_S = 1.0
-CONNECTIONS = 130
+CANCEL_TIMEOUT_S = 1.0
 LISTEN_CHECKS = 2
 LISTEN_PAUSE_S = 0.02
+MAX_CANCELS = 32
+READ_BYTES = 64 * 1024
 HOP_HEADERS = frozenset({"connection", "transfer-encoding", "keep-alive"})
 
+_logger = logging.getLogger(__name__)
+
+
+class _ClosedError(Exception):
+    """A kept connection ended before any byte of an answer came."""
+
+
+class _Pool(connectionpool.ConnectionPool):
+    """Connections to one target; tells new from kept ones."""
+
+    def __init__(self, address: str, *, size: int) -> None:
+        host, _, port = address.rpartition(":")
+        super().__init__(
+            host,
+            int(port),
+            host,
+            int(port),
+            size=size,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=None,
+        )
+        self.opened = 0
+
+    def after_connect(self, sock: gevent.socket.socket) -> None:
+        """Counts a new connection."""
+        self.opened += 1
+
 
 class HttpTargets:
     """Runs requests on targets by HTTP.
 
     A target refuses with 503 and the header Primrosecross-Not-Run: true when
-    the request did not run.
+    the request did not run. A request counts as not run until its first byte
+    is handed to a connection, and as unknown from then until its whole answer
+    is there.
 
     Args:
         clock: Clock that deadlines refer to.
@@ -36,7 +76,8 @@
 
     def __init__(self, *, clock: clock_port.Clock) -> None:
         self._clock = clock
-        self._clients: dict[str, geventhttpclient.HTTPClient] = {}
+        self._pools: dict[tuple[str, int], _Pool] = {}
+        self._cancels = gevent_pool.Pool(MAX_CANCELS)
 
     def run(
         self,
@@ -44,28 +85,40 @@
         req: request.Request,
         fence: target_port.Fence,
     ) -> outcome.Outcome:
-        """Runs a request on a target and returns its outcome."""
-        left_ns = req.deadline_ns - self._clock.now_ns()
-        if left_ns <= 0:
-            return outcome.NotRun(
-                outcome.Reason.DEADLINE, "the deadline passed in the router"
-            )
-        headers = [*req.headers, *_fields(req, fence, left_ns)]
-        client = self._client(announcement.address)
+        """Runs a request on a target and returns its outcome.
+
+        The target is told when the deadline passes, or when the calling task
+        is killed, before it has answered.
+        """
+        exchange = _Exchange(
+            pool=self._pool(announcement),
+            host=announcement.address,
+            req=req,
+            fence=fence,
+            clock=self._clock,
+        )
         try:
-            answer = client.request(
-                req.method, req.path, req.body or None, headers
-            )
-            body = bytes(answer.read())
-        except ConnectionRefusedError:
-            return outcome.NotRun(
-                outcome.Reason.NO_TARGET, "the target does not listen"
-            )
-        except (OSError, ValueError, http_response.HTTPConnectionClosed) as e:
-            return outcome.Unknown(
-                outcome.Reason.ANSWER_LOST, f"the target's answer was lost: {e}"
-            )
-        return _outcome(answer, body)
+            return exchange.run()
+        except BaseException:
+            self._cancel(announcement, req)
+            raise
+        finally:
+            if exchange.timed_out:
+                self._cancel(announcement, req)
+
+    def _pool(self, announcement: target_port.Announcement) -> _Pool:
+        key = (announcement.address, announcement.connections)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = _Pool(announcement.address, size=announcement.connections)
+            self._pools[key] = pool
+        return pool
+
+    def _cancel(
+        self, announcement: target_port.Announcement, req: request.Request
+    ) -> None:
+        if announcement.cancel_path and not self._cancels.full():
+            self._cancels.spawn(_tell_cancelled, announcement, req.request_id)
 
     def listens(self, announcement: target_port.Announcement) -> bool:
         """Tells whether the target takes connections, and still does."""
@@ -80,43 +133,198 @@
             gevent.sleep(LISTEN_PAUSE_S)
         return True
 
-    def _client(self, address: str) -> geventhttpclient.HTTPClient:
-        client = self._clients.get(address)
-        if client is None:
-            host, _, port = address.rpartition(":")
-            client = geventhttpclient.HTTPClient(
-                host,
-                int(port),
-                concurrency=CONNECTIONS,
-                connection_timeout=CONNECT_TIMEOUT_S,
-                network_timeout=3600,
+    def forget(self, announcement: target_port.Announcement) -> None:
+        """Closes the connections kept to a target that is gone."""
+        key = (announcement.address, announcement.connections)
+        pool = self._pools.pop(key, None)
+        if pool is not None:
+            pool.close()
+
+
+def _tell_cancelled(
+    announcement: target_port.Announcement, request_id: str
+) -> None:
+    host, _, port = announcement.address.rpartition(":")
+    client = geventhttpclient.HTTPClient(
+        host,
+        int(port),
+        connection_timeout=CANCEL_TIMEOUT_S,
+        network_timeout=CANCEL_TIMEOUT_S,
+    )
+    try:
+        client.post(
+            announcement.cancel_path, "", {REQUEST_ID_HEADER: request_id}
+        ).read()
+    except (OSError, http_response.HTTPParseError) as error:
+        _logger.info("a cancellation did not reach the target: %s", error)
+    finally:
+        client.close()
+
+
+class _Exchange:
+    """One request to a target and its answer.
+
+    Attributes:
+        timed_out: Whether the deadline passed after the request was sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: _Pool,
+        host: str,
+        req: request.Request,
+        fence: target_port.Fence,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._pool = pool
+        self._host = host
+        self._req = req
+        self._fence = fence
+        self._clock = clock
+        self.timed_out = False
+
+    def run(self) -> outcome.Outcome:
+        try:
+            return self._attempt()
+        except _ClosedError as error:
+            if self._req.idempotent and isinstance(self._req.body, bytes):
+                return self._attempt_again()
+            return _lost(error)
+
+    def _attempt_again(self) -> outcome.Outcome:
+        try:
+            return self._attempt()
+        except _ClosedError as error:
+            return _lost(error)
+
+    def _attempt(self) -> outcome.Outcome:
+        left_ns = self._req.deadline_ns - self._clock.now_ns()
+        if left_ns <= 0:
+            return _too_late()
+        deadline = gevent.Timeout.start_new(left_ns / 1e9)
+        sock = None
+        try:
+            try:
+                sock, kept = self._connect()
+            except OSError as error:
+                return outcome.NotRun(
+                    outcome.Reason.NO_TARGET,
+                    f"the target takes no connection: {error}",
+                )
+            return self._exchange(sock, kept=kept, left_ns=left_ns)
+        except gevent.Timeout as timeout:
+            if timeout is not deadline:
+                raise
+            if sock is None:
+                return _too_late()
+            self.timed_out = True
+            return _lost("the deadline passed before the answer")
+        finally:
+            deadline.close()
+
+    def _connect(self) -> tuple[gevent.socket.socket, bool]:
+        opened = self._pool.opened
+        sock = self._pool.get_socket()
+        return sock, self._pool.opened == opened
+
+    def _exchange(
+        self, sock: gevent.socket.socket, *, kept: bool, left_ns: int
+    ) -> outcome.Outcome:
+        with self._released_on_error(sock):
+            try:
+                self._send(sock, left_ns)
+            except errors.BodyError as error:
+                self._pool.release_socket(sock)
+                return _lost(error)
+            except OSError as error:
+                # The target may have answered before it read everything.
+                _logger.debug("sending to a target failed: %s", error)
+        try:
+            answer = http_response.HTTPSocketPoolResponse(
+                sock,
+                self._pool,
+                block_size=READ_BYTES,
+                method=self._req.method,
             )
-            self._clients[address] = client
-        return client
-
-
-def _fields(
-    req: request.Request, fence: target_port.Fence, left_ns: int
-) -> list[tuple[str, str]]:
-    return [
-        (REQUEST_ID_HEADER, req.request_id),
-        (KEY_HEADER, req.key),
-        (GENERATION_HEADER, str(fence.generation)),
-        (LEASE_HEADER, str(fence.lease_expires_ns)),
-        (TIMEOUT_HEADER, str(left_ns // lease_module.NS_PER_MS)),
-    ]
-
-
-def _outcome(
-    answer: http_response.HTTPSocketPoolResponse, body: bytes
-) -> outcome.Outcome:
-    if answer.status_code == 503 and answer.get(NOT_RUN_HEADER) == "true":
-        return outcome.NotRun(
-            outcome.Reason.TARGET_REFUSED, body.decode(errors="replace")[:200]
+        except http_response.HTTPConnectionClosed as error:
+            if kept:
+                raise _ClosedError(str(error)) from error
+            return _lost(error)
+        except (OSError, http_response.HTTPParseError) as error:
+            return _lost(error)
+        return self._read(answer)
+
+    @contextlib.contextmanager
+    def _released_on_error(self, sock: gevent.socket.socket) -> Iterator[None]:
+        try:
+            yield
+        except BaseException:
+            self._pool.release_socket(sock)
+            raise
+
+    def _send(self, sock: gevent.socket.socket, left_ns: int) -> None:
+        head = self._head(left_ns)
+        if isinstance(self._req.body, bytes):
+            sock.sendall(head + self._req.body)
+            return
+        sock.sendall(head)
+        for piece in body.pieces(self._req.body):
+            sock.sendall(piece)
+
+    def _head(self, left_ns: int) -> bytes:
+        req = self._req
+        lines = [f"{req.method} {req.path} HTTP/1.1", f"Host: {self._host}"]
+        lines += [f"{name}: {value}" for name, value in req.headers]
+        lines += [
+            f"{REQUEST_ID_HEADER}: {req.request_id}",
+            f"{KEY_HEADER}: {req.key}",
+            f"{GENERATION_HEADER}: {self._fence.generation}",
+            f"{LEASE_HEADER}: {self._fence.lease_expires_ns}",
+            f"{TIMEOUT_HEADER}: {left_ns // lease_module.NS_PER_MS}",
+        ]
+        if len(req.body) or req.method not in ("GET", "HEAD"):
+            lines.append(f"Content-Length: {len(req.body)}")
+        return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
+
+    def _read(
+        self, answer: http_response.HTTPSocketPoolResponse
+    ) -> outcome.Outcome:
+        stream = target_answer.AnswerStream(
+            answer, deadline_ns=self._req.deadline_ns, clock=self._clock
+        )
+        try:
+            content = stream.hold()
+        except errors.BodyError as error:
+            return _lost(error)
+        except BaseException:
+            stream.close()
+            raise
+        if answer.status_code == 503 and answer.get(NOT_RUN_HEADER) == "true":
+            body.close(content)
+            return outcome.NotRun(
+                outcome.Reason.TARGET_REFUSED, _detail(content)
+            )
+        headers = tuple(
+            (str(name), str(value))
+            for name, value in answer.items()
+            if name.lower() not in HOP_HEADERS
         )
-    headers = tuple(
-        (str(name), str(value))
-        for name, value in answer.items()
-        if name.lower() not in HOP_HEADERS
+        return outcome.Answered(answer.status_code, headers, content)
+
+
+def _detail(content: body.Body) -> str:
+    held = content if isinstance(content, bytes) else b""
+    return held.decode(errors="replace")[:200]
+
+
+def _too_late() -> outcome.NotRun:
+    return outcome.NotRun(
+        outcome.Reason.DEADLINE, "the deadline passed in the router"
+    )
+
+
+def _lost(problem: object) -> outcome.Unknown:
+    return outcome.Unknown(
+        outcome.Reason.ANSWER_LOST, f"the target's answer was lost: {problem}"
     )
-    return outcome.Answered(answer.status_code, headers, body)
--- a/primrosecross/ports/target.py
+++ b/primrosecross/ports/target.py
@@ -6,6 +6,8 @@
 from primrosecross.domain import outcome
 from primrosecross.domain import request
 
+DEFAULT_CONNECTIONS = 110
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
@@ -16,12 +18,20 @@
         address: "ip:port" where it takes requests.
         slots: Requests it runs at once.
         checks_generation: Whether it refuses out-of-date generations.
+        connections: Most connections it takes at once from this daemon.
+        cancel_path: Path that takes cancellations; empty if it takes none.
+        health_path: Path that tells whether it is ready; empty if none.
+        load_path: Path that reports its load; empty if none.
     """
 
     service: str
     address: str
     slots: int
     checks_generation: bool
+    connections: int = DEFAULT_CONNECTIONS
+    cancel_path: str = ""
+    health_path: str = ""
+    load_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,3 +60,6 @@
 
     def listens(self, announcement: Announcement) -> bool:
         """Tells whether the target takes connections now."""
+
+    def forget(self, announcement: Announcement) -> None:
+        """Gives up what is kept for a target that is gone."""
--- a/standins/target.py
+++ b/standins/target.py
@@ -2,7 +2,9 @@
 
 Each request that runs appends a line to the journal. The path chooses what
 runs: /work?ms=N takes that long, /crash ends the process after the journal
-line, anything else answers at once. POST, PUT and DELETE count up the key.
+line, anything else answers at once; /bytes?n=N answers with N bytes, and
+with &cut=1 ends the connection before the last of them. POST, PUT and DELETE
+count up the key.
 """
 
 from gevent import monkey
@@ -11,13 +13,16 @@
 
 import collections  # noqa: E402
 import dataclasses  # noqa: E402
+import errno  # noqa: E402
 import json  # noqa: E402
 import os  # noqa: E402
 import pathlib  # noqa: E402
 import time  # noqa: E402
+import zlib  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 from collections.abc import Iterable  # noqa: E402
 from typing import Any  # noqa: E402
+from typing import BinaryIO  # noqa: E402
 from urllib import parse  # noqa: E402
 
 import gevent  # noqa: E402
@@ -28,6 +33,7 @@
 
 ANNOUNCE_EVERY_S = 2.0
 COLD_FACTOR = 4
+PIECE_BYTES = 64 * 1024
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -43,6 +49,7 @@
         checks_generation: Whether it refuses what its lease does not cover.
         cold_s: Seconds after start during which work takes four times longer.
         report_factor: Multiplies the load it reports, to mislead.
+        connections: Connections it takes at once.
     """
 
     vm: str
@@ -51,6 +58,7 @@
     checks_generation: bool = False
     cold_s: float = 0.0
     report_factor: float = 1.0
+    connections: int = 130
 
 
 class Target:
@@ -133,7 +141,7 @@
         self._running[request_id] = gevent.getcurrent()
         started_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
         try:
-            body = environ["wsgi.input"].read()
+            body = _consume(environ["wsgi.input"])
             key = environ.get("HTTP_PRIMROSECROSS_KEY", "")
             if environ["REQUEST_METHOD"] != "GET":
                 self.counts[key] += 1
@@ -146,8 +154,11 @@
                 "key": key,
                 "request_id": request_id,
                 "count": self.counts[key],
-                "body_bytes": len(body),
+                "body_bytes": body.length,
+                "body_checksum": body.checksum,
             }
+            if environ["PATH_INFO"].endswith("/bytes"):
+                return _bytes(environ, start_response)
             return _json(start_response, answer)
         finally:
             self._write_end(request_id)
@@ -193,6 +204,10 @@
                 "address": address,
                 "slots": self._options.slots,
                 "checks_generation": self._options.checks_generation,
+                "connections": self._options.connections,
+                "cancel_path": "/standin/cancel",
+                "health_path": "/standin/health",
+                "load_path": "/standin/load",
             }
         )
         while True:
@@ -206,6 +221,40 @@
                 client.close()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Received:
+    """What is kept of a request's body."""
+
+    length: int
+    checksum: int
+
+
+def _consume(source: BinaryIO) -> _Received:
+    length = 0
+    checksum = 0
+    while piece := source.read(PIECE_BYTES):
+        length += len(piece)
+        checksum = zlib.crc32(piece, checksum)
+    return _Received(length, checksum)
+
+
+def _bytes(
+    environ: dict[str, Any], start_response: StartResponse
+) -> Iterable[bytes]:
+    query = parse.parse_qs(environ.get("QUERY_STRING", ""))
+    left = int(query["n"][0])
+    headers = [("Content-Type", "application/octet-stream")]
+    if "chunked" not in query:
+        headers.append(("Content-Length", str(left)))
+    start_response("200 OK", headers)
+    while left > 0:
+        size = min(left, PIECE_BYTES)
+        left -= size
+        if left <= 0 and "cut" in query:
+            raise ConnectionAbortedError(errno.EPIPE, "cut on purpose")
+        yield b"x" * size
+
+
 def _json(
     start_response: StartResponse, document: dict[str, Any]
 ) -> Iterable[bytes]:
