Stream long bodies between caller, daemons and target

A cut answer closes the caller's connection before its declared length or last chunk. Bodies without a length are held up to 1 MB. A caller that leaves ends its request.

--- a/primrosecross/adapters/caller_http.py
+++ b/primrosecross/adapters/caller_http.py
@@ -12,7 +12,12 @@
 from typing import Any
 from urllib import parse
 
+from gevent import pool as gevent_pool
+
+from primrosecross.adapters import caller_body
+from primrosecross.adapters import caller_connection
 from primrosecross.adapters import http_server
+from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import outcome
@@ -28,7 +33,13 @@
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 DEFAULT_TIMEOUT_MS = 10_000
 DEFAULT_MAX_BODY_BYTES = 1 << 20
-PASSED_FIELDS = ("CONTENT_TYPE", "HTTP_ACCEPT", "HTTP_AUTHORIZATION")
+MAX_CONNECTIONS = 4096
+PASSED_FIELDS = (
+    "CONTENT_TYPE",
+    "HTTP_ACCEPT",
+    "HTTP_AUTHORIZATION",
+    "HTTP_CONTENT_DIGEST",
+)
 
 _STATUS = {
     outcome.Reason.UNKNOWN_SERVICE: (404, "Not Found"),
@@ -67,7 +78,12 @@
         self._state = state
         self._clock = clock
         self._server = http_server.HttpServer(
-            listen, self._serve, log=None, error_log=None
+            listen,
+            self._serve,
+            log=None,
+            error_log=None,
+            handler_class=caller_connection.Handler,
+            spawn=gevent_pool.Pool(MAX_CONNECTIONS),
         )
 
     def start(self) -> None:
@@ -86,7 +102,12 @@
         except errors.RequestError as error:
             result = outcome.NotRun(outcome.Reason.BAD_REQUEST, str(error))
             return render(result, start_response)
-        return render(self._router.route(req), start_response)
+        try:
+            with caller_connection.watched(environ, req):
+                result = self._router.route(req)
+        finally:
+            body.close(req.body)
+        return render(result, start_response)
 
     def _parse(self, environ: dict[str, Any]) -> request.Request:
         path = environ["PATH_INFO"].encode("latin-1").decode(errors="replace")
@@ -110,7 +131,7 @@
             method=method,
             path=target_path,
             headers=_passed_headers(environ),
-            body=_body(environ, limit),
+            body=caller_body.read(environ, limit_bytes=limit),
             idempotent=bool(service and method in service.idempotent_methods),
             deadline_ns=self._clock.now_ns()
             + timeout_ms * lease_module.NS_PER_MS,
@@ -140,18 +161,6 @@
     return int(text)
 
 
-def _body(environ: dict[str, Any], limit: int) -> bytes:
-    if _number(environ, "CONTENT_LENGTH", 0) > limit:
-        return b"\0" * (limit + 1)
-    try:
-        return environ["wsgi.input"].read(limit + 1)
-    except (OSError, ValueError) as error:
-        raise errors.RequestError(
-            f"the body did not arrive whole: {error}",
-            remedy="send it again",
-        ) from error
-
-
 def _passed_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
     return tuple(
         (field.removeprefix("HTTP_").replace("_", "-").title(), environ[field])
@@ -178,9 +187,26 @@
         if name.lower() != "content-length"
     ]
     headers.append((OUTCOME_HEADER, "answered"))
-    headers.append(("Content-Length", str(len(result.body))))
+    length = _length_of(result.body)
+    if length != body.UNKNOWN_LENGTH:
+        headers.append(("Content-Length", str(length)))
     start_response(f"{result.status} Answered", headers)
-    return [result.body]
+    return caller_body.Answer(result.body)
+
+
+@functools.singledispatch
+def _length_of(content: body.Body) -> int:
+    raise TypeError(f"{type(content).__name__} is not a body")
+
+
+@_length_of.register
+def _(content: bytes) -> int:
+    return len(content)
+
+
+@_length_of.register
+def _(content: body.Stream) -> int:
+    return content.length
 
 
 @render.register
