Keep a shard in flight until its streamed answer has ended

Cause: a target's streamed answer outlives the call that runs it, so a shard could be handed over while its target still answered. A handler that fails now answers with a Failure instead of letting the caller wait for its deadline; the tests follow the messages' new fields.

--- a/primrosecross/adapters/peer_connection.py
+++ b/primrosecross/adapters/peer_connection.py
@@ -290,7 +290,7 @@
     def _answer(self, frame: peer_codec.Frame) -> None:
         """Answers one message, with a streamed body piece by piece."""
         try:
-            answer = self._handler(frame.message)
+            answer = self._handle(frame.message)
             self._post(frame.call, answer, is_answer=True)
             stream = messages.body_of(answer)
             if isinstance(stream, body.Stream):
@@ -300,6 +300,16 @@
             self._outgoing.pop((frame.call, True), None)
             body.close(messages.body_of(frame.message))
 
+    def _handle(self, message: messages.Message) -> messages.Message:
+        try:
+            return self._handler(message)
+        except Exception:
+            _logger.exception("%s was not handled", type(message).__name__)
+            return messages.Failure(
+                f"{type(message).__name__} met a fault in the daemon",
+                "see the daemon's log",
+            )
+
     def _make_outgoing(
         self, call: int, is_answer: bool, source: body.Stream
     ) -> peer_body.Outgoing:
--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -1,12 +1,14 @@
 """Owner's side of a request: checks ownership, then runs it on a target."""
 
 import collections
+import functools
 
 import gevent
 
 from primrosecross.domain import admission as admission_module
 from primrosecross.domain import assignment
 from primrosecross.domain import attempts as attempts_module
+from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import holders
 from primrosecross.domain import identity
@@ -147,10 +149,18 @@
         shard, grant = self._state.assignment.grant_for(req.service, req.key)
         fence = target_port.Fence(grant.generation, self._lease.expires_ns())
         self._in_flight[req.service, shard] += 1
+        result = None
         try:
-            return self._targets.run(announcement, req, fence)
+            result = self._targets.run(announcement, req, fence)
+            return result
         finally:
-            self._in_flight[req.service, shard] -= 1
+            body.call_when_done(
+                outcome.body_of(result),
+                functools.partial(self._ended, req.service, shard),
+            )
+
+    def _ended(self, service: str, shard: int) -> None:
+        self._in_flight[service, shard] -= 1
 
     def _record_duration(
         self,
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -559,5 +559,10 @@
 
 
 @refusal_of.register
-def _(_: Forward) -> Message:
-    return ForwardNotRun("overloaded", "too many calls at once", 100)
+def _(message: Forward) -> Message:
+    return ForwardNotRun(
+        request_id=message.request_id,
+        reason="overloaded",
+        detail="too many calls at once",
+        retry_after_ms=100,
+    )
--- a/primrosecross/domain/outcome.py
+++ b/primrosecross/domain/outcome.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 
 from primrosecross.domain import body as body_module
 
@@ -57,3 +58,14 @@
 
 
 Outcome = Answered | NotRun | Unknown
+
+
+@functools.singledispatch
+def body_of(result: object) -> body_module.Body:
+    """Returns the body of an outcome, empty for all but answers."""
+    return b""
+
+
+@body_of.register
+def _(result: Answered) -> body_module.Body:
+    return result.body
--- a/tests/test_transport_bodies.py
+++ b/tests/test_transport_bodies.py
@@ -42,16 +42,16 @@
 
     def handle(self, message):
         if message.path.startswith("/refuse"):
-            return messages.ForwardNotRun("overloaded", "", 0)
+            return messages.ForwardNotRun("id", "overloaded", "", 0)
         if message.path.startswith("/long"):
-            return messages.ForwardAnswered(200, (), self.answer)
+            return messages.ForwardAnswered("id", 200, (), self.answer)
         if message.path.startswith("/slow"):
             gevent.sleep(1.0)
         try:
             self.received = sum(len(p) for p in body.pieces(message.body))
         except errors.BodyError as error:
-            return messages.ForwardUnknown("answer-lost", str(error))
-        return messages.ForwardAnswered(200, (), b"")
+            return messages.ForwardUnknown("id", "answer-lost", str(error))
+        return messages.ForwardAnswered("id", 200, (), b"")
 
     def test_both_directions_arrive_whole(self):
         self.call("/", MadeStream(LONG_BYTES))
