--- /dev/null
+++ b/bench/blocking.py
@@ -0,0 +1,156 @@
+"""Short requests beside a long body on one connection.
+
+Compares streams that take turns with one shared FIFO stream, in one run over
+loopback, both ends in this process.
+"""
+
+import contextlib
+import time
+from collections.abc import Iterator
+
+import gevent
+from hdrh import histogram
+
+from bench import result
+from primrosecross.adapters import boot_clock
+from primrosecross.adapters import peer_body
+from primrosecross.adapters import peer_connection
+from primrosecross.adapters import peer_streams
+from primrosecross.domain import body
+from primrosecross.domain import errors
+from primrosecross.domain import messages
+from primrosecross.domain import stamp
+
+BASE_PORT = 28900
+BODY_BYTES = 64 << 20
+RUN_S = 4.0
+PAUSE_S = 0.002
+BOUND_MS = 12.0
+MAX_US = 60_000_000
+
+
+class _Zeros(body.Stream):
+    def __init__(self) -> None:
+        super().__init__(BODY_BYTES)
+        self._left = BODY_BYTES
+        self._piece = bytes(peer_body.PIECE_BYTES)
+
+    def read(self) -> bytes:
+        self._left -= len(self._piece)
+        return self._piece if self._left >= 0 else b""
+
+
+class _Fifo(peer_body.Outgoing):
+    """Queues the whole body at once, before whatever is sent next."""
+
+    def __init__(self, source: body.Stream, post) -> None:
+        super().__init__(source=source, offer=lambda outgoing: None)
+        self._post = post
+
+    def run(self) -> None:
+        """Queues all pieces."""
+        for piece in body.pieces(self._source):
+            self._post(messages.StreamPiece(piece))
+        self._post(messages.StreamEnd(0, 0, "baseline without a checksum"))
+
+
+class _FifoConnection(peer_connection.Connection):
+    def _make_outgoing(self, call, is_answer, source):
+        return _Fifo(source, lambda m: self._post(call, m, is_answer=is_answer))
+
+
+def _peer(vm: str, port: int) -> peer_streams.PeerStreams:
+    peer = peer_streams.PeerStreams(
+        hello=messages.Hello(
+            peer_connection.PROTOCOL, "bench", vm, vm, messages.Lane.CONTROL
+        ),
+        listen=("127.0.0.1", port),
+        stamps=stamp.StampClock(clock=boot_clock.BootClock()),
+    )
+    peer.start()
+    return peer
+
+
+def _forward(path: str) -> messages.Forward:
+    return messages.Forward(
+        request_id="id",
+        service="s",
+        key="k",
+        method="GET",
+        path=path,
+        headers=(),
+        body=b"",
+        idempotent=True,
+        identified=False,
+        attempt=0,
+        generation=1,
+        timeout_ms=60_000,
+    )
+
+
+def _handle(message: messages.Forward) -> messages.Message:
+    content = _Zeros() if message.path == "/long" else b""
+    return messages.ForwardAnswered("id", 200, (), content)
+
+
+class _Transfers:
+    """Fetches long bodies one after another."""
+
+    def __init__(self, left: peer_streams.PeerStreams) -> None:
+        self._left = left
+        self.moved_bytes = 0
+
+    def run(self) -> None:
+        while True:
+            message = _forward("/long")
+            answer = self._left.call("right", message, timeout_ms=60_000)
+            with contextlib.suppress(errors.BodyError):
+                for piece in body.pieces(answer.body):
+                    self.moved_bytes += len(piece)
+
+
+def _measure(port: int, *, long_bodies: bool) -> tuple[float, float]:
+    """Returns p99 of short calls in ms, and MB/s of long bodies."""
+    right = _peer("right", port)
+    right.handler = _handle
+    left = _peer("left", port + 1)
+    left.learn_address("right", f"127.0.0.1:{port}")
+    seen = histogram.HdrHistogram(1, MAX_US, 3)
+    transfers = _Transfers(left)
+    task = gevent.spawn(transfers.run) if long_bodies else gevent.Greenlet()
+    started = time.monotonic()
+    while time.monotonic() - started < RUN_S:
+        sent = time.monotonic()
+        left.call("right", _forward("/short"), timeout_ms=60_000)
+        seen.record_value(max(1, int((time.monotonic() - sent) * 1e6)))
+        gevent.sleep(PAUSE_S)
+    rate = transfers.moved_bytes / (time.monotonic() - started) / 1e6
+    task.kill()
+    left.stop()
+    right.stop()
+    return seen.get_value_at_percentile(99) / 1000, rate
+
+
+def run() -> Iterator[result.Result]:
+    """Yields the results."""
+    note = "64 MB bodies one after another, both ends in one process"
+    alone, _ = _measure(BASE_PORT, long_bodies=False)
+    yield result.Result("blocking.short_alone_p99", alone, "ms", note=note)
+    turns, rate = _measure(BASE_PORT + 2, long_bodies=True)
+    yield result.at_most(
+        "blocking.short_beside_long_p99", turns, "ms", bound=BOUND_MS, note=note
+    )
+    yield result.Result("blocking.long_rate", rate, "MB/s", note=note)
+    window, kind = peer_body.WINDOW_BYTES, peer_connection.Connection
+    peer_body.WINDOW_BYTES = 2 * BODY_BYTES
+    peer_connection.Connection = _FifoConnection
+    try:
+        fifo, rate = _measure(BASE_PORT + 4, long_bodies=True)
+    finally:
+        peer_body.WINDOW_BYTES = window
+        peer_connection.Connection = kind
+    yield result.Result("blocking.short_beside_fifo_p99", fifo, "ms", note=note)
+    yield result.Result("blocking.fifo_rate", rate, "MB/s", note=note)
+    yield result.at_least(
+        "blocking.fifo_to_turns", fifo / turns, "ratio", bound=2.0, note=note
+    )
