--- a/primrosecross/adapters/peer_codec.py
+++ b/primrosecross/adapters/peer_codec.py
@@ -123,12 +123,15 @@
     return peer_body.Incoming(int.from_bytes(data, "big", signed=True))
 
 
+_PACKER = msgpack.Packer(default=_default)
+
+
 def encode(frame: Frame) -> bytes:
     """Returns the bytes of a frame."""
     kind = _BY_TYPE[type(frame.message)]
     parts = [frame.call, frame.is_answer, frame.stamp, kind.name]
     parts += kind.values(frame.message)
-    return msgpack.packb(parts, default=_default)
+    return _PACKER.pack(parts)
 
 
 class Decoder:
