--- a/primrosecross/domain/events.py
+++ b/primrosecross/domain/events.py
@@ -183,6 +183,22 @@
     crashes: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetAnnounced:
+    """A target beside this daemon announced itself for the first time."""
+
+    service: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLost:
+    """A target beside this daemon stopped announcing itself."""
+
+    service: str
+    address: str
+
+
 Event = (
     LeaseGained
     | LeaseLost
@@ -201,6 +217,8 @@
     | ConnectionGivenUp
     | DrainStarted
     | DrainEnded
+    | TargetAnnounced
+    | TargetLost
     | RequestQuarantined
 )
 
--- a/primrosecross/domain/membership.py
+++ b/primrosecross/domain/membership.py
@@ -111,7 +111,7 @@
     def _check(self) -> None:
         self._record_changes()
         member = self._state.member()
-        if not self.offers:
+        if not self.offers and not self._was_admitted(member):
             return
         if member is None or not self._is_current(member):
             self._join()
@@ -123,6 +123,12 @@
             self._lease.change_witnesses(member.witnesses)
         self._confirm(member)
 
+    def _was_admitted(self, member: assignment.Member | None) -> bool:
+        return (
+            member is not None
+            and member.incarnation == self._identity.incarnation
+        )
+
     def _is_current(self, member: assignment.Member) -> bool:
         announced = tuple(
             assignment.Offer(o.service, o.slots, o.checks_generation)
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from primrosecross.domain import announcements
 from primrosecross.domain import answers as answers_module
 from primrosecross.domain import attempts as attempts_module
 from primrosecross.domain import collector as collector_module
@@ -184,6 +185,13 @@
             timeline=timeline,
             quarantine=self.quarantine,
         )
+        self._announcements = announcements.Announcements(
+            clock=clock,
+            timeline=timeline,
+            changed=self._take_targets,
+            forget=ports.targets.forget,
+        )
+        self.announced = self._announcements.take
         self._answer = functools.singledispatch(self.coordinator.handle)
         self._answer.register(
             messages.Heartbeat, self.membership.answer_heartbeat
@@ -242,12 +250,14 @@
             unknown=self.meter.total(meter_module.UNKNOWN),
         )
 
-    def announced(self, announcement: target_port.Announcement) -> None:
-        """Takes in what a target beside this daemon says of itself."""
-        self.executor.announced[announcement.address] = announcement
+    def _take_targets(
+        self, present: dict[str, target_port.Announcement]
+    ) -> None:
+        """Offers the targets that are announced now."""
+        self.executor.announced = present
         self.membership.offers = tuple(
             messages.OfferInfo(a.service, a.slots, a.checks_generation)
-            for _, a in sorted(self.executor.announced.items())
+            for _, a in sorted(present.items())
         )
 
     def shutdown(self, in_flight: Callable[[], int]) -> shutdown.Shutdown:
@@ -269,6 +279,7 @@
             self.membership.run,
             self.membership.watch_others,
             self.executor.hand_over,
+            self._announcements.run,
             self.ring.run,
             self.quarantine.run,
             self._watch_plan,
