--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -1,8 +1,11 @@
 """Owner's side of a request: checks ownership, then runs it on a target."""
 
+import functools
+
 from primrosecross.domain import admission as admission_module
 from primrosecross.domain import assignment
 from primrosecross.domain import attempts as attempts_module
+from primrosecross.domain import body
 from primrosecross.domain import handover
 from primrosecross.domain import holders
 from primrosecross.domain import identity
@@ -141,8 +144,16 @@
         fence = target_port.Fence(grant.generation, self._lease.expires_ns())
         key_hash = assignment.hash_key(req.service, req.key)
         self._load.record(req.service, key_hash)
-        with self._hand_over.running(req.service, key_hash):
-            return self._targets.run(announcement, req, fence)
+        self._hand_over.begin(req.service, key_hash)
+        result = None
+        try:
+            result = self._targets.run(announcement, req, fence)
+            return result
+        finally:
+            body.call_when_done(
+                outcome.body_of(result),
+                functools.partial(self._hand_over.end, req.service, key_hash),
+            )
 
     def _record_duration(
         self,
--- a/primrosecross/domain/handover.py
+++ b/primrosecross/domain/handover.py
@@ -53,17 +53,25 @@
         self._wake = gevent_event.Event()
         state.subscribe(self._wake.set)
 
-    @contextlib.contextmanager
-    def running(self, service: str, key_hash: int) -> Iterator[None]:
+    def begin(self, service: str, key_hash: int) -> None:
         """Counts a request of a key as running."""
+        self._running[service, key_hash] += 1
+
+    def end(self, service: str, key_hash: int) -> None:
+        """Ends the count of a request."""
         entry = service, key_hash
-        self._running[entry] += 1
+        self._running[entry] -= 1
+        if not self._running[entry]:
+            del self._running[entry]
+
+    @contextlib.contextmanager
+    def running(self, service: str, key_hash: int) -> Iterator[None]:
+        """Counts a request of a key as running meanwhile."""
+        self.begin(service, key_hash)
         try:
             yield
         finally:
-            self._running[entry] -= 1
-            if not self._running[entry]:
-                del self._running[entry]
+            self.end(service, key_hash)
 
     def total(self) -> int:
         """Returns the keyed requests that run now."""
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from primrosecross.domain import announcements
 from primrosecross.domain import answers as answers_module
 from primrosecross.domain import attempts as attempts_module
 from primrosecross.domain import collector as collector_module
@@ -30,6 +31,7 @@
 from primrosecross.domain import request
 from primrosecross.domain import ring as ring_module
 from primrosecross.domain import router as router_module
+from primrosecross.domain import shutdown
 from primrosecross.domain import state as state_module
 from primrosecross.domain import sync as sync_module
 from primrosecross.domain import witness
@@ -75,6 +77,8 @@
         timing: lease_module.LeaseTiming,
     ) -> None:
         self._ports = ports
+        self._vm = identity.vm
+        self._timeline = timeline
         vm = identity.vm
         clock = ports.clock
         self.state = state_module.State(vm=vm, timeline=timeline)
@@ -194,6 +198,13 @@
             timeline=timeline,
             quarantine=self.quarantine,
         )
+        self._announcements = announcements.Announcements(
+            clock=clock,
+            timeline=timeline,
+            changed=self._take_targets,
+            forget=ports.targets.forget,
+        )
+        self.announced = self._announcements.take
         self._answer = functools.singledispatch(self.coordinator.handle)
         self._answer.register(
             messages.Heartbeat, self.membership.answer_heartbeat
@@ -252,12 +263,25 @@
             unknown=self.meter.total(meter_module.UNKNOWN),
         )
 
-    def announced(self, announcement: target_port.Announcement) -> None:
-        """Takes in what a target beside this daemon says of itself."""
-        self.executor.announced[announcement.address] = announcement
+    def _take_targets(
+        self, present: dict[str, target_port.Announcement]
+    ) -> None:
+        """Offers the targets that are announced now."""
+        self.executor.announced = present
         self.membership.offers = tuple(
             messages.OfferInfo(a.service, a.slots, a.checks_generation)
-            for _, a in sorted(self.executor.announced.items())
+            for _, a in sorted(present.items())
+        )
+
+    def shutdown(self, in_flight: Callable[[], int]) -> shutdown.Shutdown:
+        """Returns what brings about a planned stop."""
+        return shutdown.Shutdown(
+            vm=self._vm,
+            state=self.state,
+            office=self.office,
+            in_flight=in_flight,
+            clock=self._ports.clock,
+            timeline=self._timeline,
         )
 
     def start(self) -> None:
@@ -269,6 +293,7 @@
             self.membership.watch_others,
             self.hand_over.run,
             self.load.run,
+            self._announcements.run,
             self.ring.run,
             self.quarantine.run,
             self._watch_plan,
