--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -57,7 +57,7 @@
             vm=settings.vm,
             place=settings.place,
             region=settings.region,
-            peer_address=settings.peer.address,
+            peer_address=settings.peer_address,
             incarnation=uuid.uuid4().hex,
         )
         stamps = stamp.StampClock(clock=clock)
--- a/primrosecross/models/settings.py
+++ b/primrosecross/models/settings.py
@@ -2,11 +2,13 @@
 
 import json
 import pathlib
+from typing import Annotated
 
 import pydantic
 
 from primrosecross.domain import errors
 
+_ADDRESS = r"^[0-9.]+:[0-9]{1,5}$"
 _NAME = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
 
 
@@ -75,6 +77,8 @@
         operator: Where operators' calls arrive.
         announce: Where the targets on this VM announce themselves.
         store_url: Base URL of the platform's object API, by IP number.
+        advertise: Peer address that other daemons are to use, "ip:port", when
+            they cannot use the one listened on.
         seeds: Peer addresses to ask for state while the store is down.
         stop_limit_ms: Longest wait for requests in flight when told to stop.
         log_level: Least severe level that is logged.
@@ -92,8 +96,9 @@
     operator: OperatorListen
     announce: Listen
     store_url: str = pydantic.Field(pattern=r"^http://[0-9.]+:\d+$")
-    seeds: tuple[str, ...] = ()
     stop_limit_ms: int = pydantic.Field(default=30_000, ge=0, le=3_600_000)
+    advertise: str | None = pydantic.Field(default=None, pattern=_ADDRESS)
+    seeds: tuple[Annotated[str, pydantic.Field(pattern=_ADDRESS)], ...] = ()
     log_level: str = pydantic.Field(
         default="INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
     )
@@ -115,6 +120,11 @@
     }
     return json.dumps(document, indent=2) + "\n"
 
+    @property
+    def peer_address(self) -> str:
+        """Address at which other daemons reach this one."""
+        return self.advertise or self.peer.address
+
 
 def load(path: pathlib.Path) -> Settings:
     """Reads and validates a settings file.
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -41,8 +42,10 @@
     Args:
         vms: VMs to start.
         directory: Where settings, logs and journals are written.
-        base_port: First of the ports used; five for each VM and one more.
+        base_port: First of the ports used; five for each VM and one more,
+            and with a relay two more for each VM and one more.
         cluster: Name of the cluster.
+        relay: Whether links between VMs, and to the platform, can be cut.
     """
 
     def __init__(
@@ -52,12 +55,15 @@
         directory: pathlib.Path,
         base_port: int,
         cluster: str = "local",
+        relay: bool = False,
     ) -> None:
+        self._relay = relay
         self.vms = {vm.name: vm for vm in vms}
         self._index = {vm.name: i for i, vm in enumerate(vms)}
         self._directory = directory
         self._base_port = base_port
         self._cluster = cluster
+        self.more_settings: dict = {}
         self.processes: dict[str, subprocess.Popen] = {}
         directory.mkdir(parents=True, exist_ok=True)
 
@@ -87,9 +93,46 @@
     def start(self) -> None:
         """Starts the platform, then all VMs."""
         self.start_platform()
+        if self._relay:
+            self.start_relay()
         for vm in self.vms:
             self.start_vm(vm)
 
+    def start_relay(self) -> None:
+        """Starts the relay between VMs and to the platform."""
+        links = []
+        for name in self.vms:
+            peer = {"source": "", "target": name}
+            peer |= {"port": self._link_port(name, "peer")}
+            peer |= {"to_port": self.port(name, "peer")}
+            store = {"source": name, "target": "platform"}
+            store |= {"port": self._link_port(name, "platform")}
+            store |= {"to_port": self._base_port}
+            links += [peer, store]
+        path = self._directory / "relay.json"
+        path.write_text(json.dumps(links))
+        control = str(self._link_port("", "control"))
+        self._spawn(
+            "relay", "standins.relay", str(path), "--control-port", control
+        )
+
+    def _link_port(self, name: str, use: str) -> int:
+        first = self._base_port + 1 + 5 * len(self.vms)
+        if use == "control":
+            return first
+        return first + 1 + 2 * self._index[name] + (use == "platform")
+
+    def cut(self, *pairs: tuple[str, str]) -> None:
+        """Cuts the links between these names and heals all others.
+
+        Args:
+            pairs: VM names; "platform" stands for the store.
+        """
+        address = ("127.0.0.1", self._link_port("", "control"))
+        with socket.create_connection(address, timeout=5) as sock:
+            sock.sendall(json.dumps(pairs).encode() + b"\n")
+            sock.recv(8)
+
     def start_platform(self) -> None:
         """Starts the platform stand-in."""
         self._spawn(
@@ -108,14 +151,27 @@
             use: {"host": "127.0.0.1", "port": self.port(name, use)}
             for use in ("peer", "caller", "operator", "announce")
         }
-        return {
+        settings = {
             "cluster": self._cluster,
             "vm": name,
             "place": vm.place,
             "region": vm.region,
             "store_url": self.store_url,
             **listens,
+            **self.more_settings,
         }
+        if self._relay:
+            port = self._link_port(name, "platform")
+            settings["store_url"] = f"http://127.0.0.1:{port}"
+            settings["advertise"] = self.advertised(name)
+        return settings
+
+    def advertised(self, name: str) -> str:
+        """Returns the address at which other daemons reach a VM's."""
+        port = self.port(name, "peer")
+        if self._relay:
+            port = self._link_port(name, "peer")
+        return f"127.0.0.1:{port}"
 
     def start_daemon(self, name: str) -> None:
         """Starts a VM's daemon."""
