Limit store calls in one place; start from a majority of seeds

Causes, found by reading: each task called the store on its own and retried at once in an outage; a write answered 5xx counted as not done although it may have taken effect; a corrupt plan kept the assignment from being read, so no lease could be proved; an assignment older than the one in force counted as proof; corruption was not logged by the plan's watch and repair not at all; seeds in the settings were not used. Change: a token bucket with counts by kind and full-jitter backoff; writes answered 5xx are resolved by reading; plan and assignment are read apart; an older or missing assignment is refused with its remedy; unreadable objects and their repair are logged once; a daemon that starts in an outage takes the newest state of a majority of seeds, and nothing of single peers before.

--- a/primrosecross/adapters/object_archive.py
+++ b/primrosecross/adapters/object_archive.py
@@ -1,8 +1,11 @@
 """The archive kept as objects in the platform's store."""
 
 import json
+import logging
 import zlib
+from collections.abc import Callable
 from typing import Any
+from typing import TypeVar
 
 import pydantic
 
@@ -22,6 +25,9 @@
 TERMS = "terms"
 NAME = "current"
 
+_Value = TypeVar("_Value")
+_logger = logging.getLogger(__name__)
+
 
 class TermModel(pydantic.BaseModel):
     """The coordinator's term as stored."""
@@ -43,13 +49,27 @@
 
     def __init__(self, *, store: store_port.Store) -> None:
         self._store = store
+        self._unreadable: dict[str, str] = {}
+
+    def _read(
+        self, kind: str, decode: Callable[[dict[str, Any]], _Value]
+    ) -> tuple[_Value | None, str]:
+        """Reads an object; logs when it becomes unreadable or is mended."""
+        try:
+            found = self._store.read(kind, NAME)
+            value = None if found is None else decode(found.spec)
+        except errors.StoreObjectError as error:
+            if self._unreadable.get(kind) != str(error):
+                _logger.error("%s; the last good state is kept", error)
+            self._unreadable[kind] = str(error)
+            raise
+        if self._unreadable.pop(kind, None) is not None:
+            _logger.info("%s/%s can be read again", kind, NAME)
+        return value, "" if found is None else found.version
 
     def read_plan(self) -> tuple[plan.Plan | None, str]:
         """Returns the plan."""
-        found = self._store.read(PLANS, NAME)
-        if found is None:
-            return None, ""
-        return plan_model.from_spec(found.spec), found.version
+        return self._read(PLANS, plan_model.from_spec)
 
     def write_plan(self, value: plan.Plan, version: str) -> str:
         """Writes the plan; returns the store's new version."""
@@ -89,10 +109,7 @@
 
     def read_assignment(self) -> tuple[assignment.Assignment | None, str]:
         """Returns the assignment."""
-        found = self._store.read(ASSIGNMENTS, NAME)
-        if found is None:
-            return None, ""
-        return assignment_model.from_spec(found.spec), found.version
+        return self._read(ASSIGNMENTS, assignment_model.from_spec)
 
     def write_assignment(
         self, value: assignment.Assignment, version: str
@@ -103,17 +120,7 @@
 
     def read_term(self) -> tuple[archive_port.Term | None, str]:
         """Returns the coordinator's term."""
-        found = self._store.read(TERMS, NAME)
-        if found is None:
-            return None, ""
-        try:
-            model = TermModel.model_validate(found.spec)
-        except pydantic.ValidationError as error:
-            raise errors.StoreObjectError(
-                f"stored term: {settings_model.describe(error)}",
-                remedy="delete the object; a new term is written",
-            ) from error
-        return archive_port.Term(**model.model_dump()), found.version
+        return self._read(TERMS, _term)
 
     def write_term(self, value: archive_port.Term, version: str) -> str:
         """Writes the coordinator's term; returns the store's new version."""
@@ -150,6 +157,17 @@
     return f"slot-{version % KEPT_PLANS}"
 
 
+def _term(spec: dict[str, Any]) -> archive_port.Term:
+    try:
+        model = TermModel.model_validate(spec)
+    except pydantic.ValidationError as error:
+        raise errors.StoreObjectError(
+            f"stored term: {settings_model.describe(error)}",
+            remedy="delete the object; a new term is written",
+        ) from error
+    return archive_port.Term(**model.model_dump())
+
+
 class JsonStateCodec:
     """Plan and assignment between daemons: deflated JSON of the models."""
 
--- a/primrosecross/adapters/object_store.py
+++ b/primrosecross/adapters/object_store.py
@@ -11,6 +11,7 @@
 import geventhttpclient
 from geventhttpclient import response as http_response
 
+from primrosecross.adapters import call_budget
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import stamp
@@ -56,7 +57,17 @@
         self._clock = clock
         self._timeline = timeline
         self._down_since_ns = 0
-        self.calls = 0
+        self._budget = call_budget.CallBudget(clock=clock)
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far; a watch counts as one."""
+        return self._budget.total()
+
+    @property
+    def calls_by_kind(self) -> dict[str, int]:
+        """Calls made so far by what they did."""
+        return dict(self._budget.counts)
 
     def _make_client(
         self, url: str, timeout_ms: int
@@ -102,7 +113,7 @@
 
     def wait_for_change(self, kind: str, version: str, timeout_ms: int) -> bool:
         """Waits until a kind has changed since a version."""
-        self.calls += 1
+        self._budget.spend(f"watch {kind}")
         path = (
             f"{_path(kind)}?watch=1&resourceVersion={version or 0}"
             f"&timeoutSeconds={max(1, timeout_ms // 1000)}"
@@ -117,6 +128,7 @@
             _expect(answer.status_code, (200,), kind, "watch")
             return bool(answer.readline().strip())
         except (OSError, ValueError, http_response.HTTPConnectionClosed) as e:
+            self._budget.failed()
             raise _unavailable(e) from e
         finally:
             client.close()
@@ -124,7 +136,7 @@
     def _request(
         self, method: str, path: str, document: dict[str, Any] | None = None
     ) -> tuple[int, dict[str, Any]]:
-        self.calls += 1
+        self._budget.spend(f"{method} {path.split('/')[4]}")
         body = b"" if document is None else json.dumps(document).encode()
         headers = {"Content-Type": "application/json"}
         try:
@@ -137,9 +149,12 @@
         except (OSError, ValueError, http_response.HTTPConnectionClosed) as e:
             self._note_outage(str(e))
             raise _failed(method, e) from e
-        if status >= 500 or status == 429:
+        if status == 429:
+            self._note_outage("status 429")
+            raise _unavailable("status 429")
+        if status >= 500:
             self._note_outage(f"status {status}")
-            raise _unavailable(f"status {status}")
+            raise _failed(method, f"status {status}")
         self._note_answer()
         return status, content
 
@@ -166,11 +181,13 @@
             self._stamps.observe(int(text))
 
     def _note_outage(self, problem: str) -> None:
+        self._budget.failed()
         if not self._down_since_ns:
             self._down_since_ns = self._clock.now_ns()
             self._timeline.record(events.StoreOutage(problem))
 
     def _note_answer(self) -> None:
+        self._budget.succeeded()
         if self._down_since_ns:
             outage_ns = self._clock.now_ns() - self._down_since_ns
             self._down_since_ns = 0
@@ -219,7 +236,7 @@
     )
 
 
-def _failed(method: str, cause: Exception) -> errors.StoreError:
+def _failed(method: str, cause: object) -> errors.StoreError:
     if method == "GET":
         return _unavailable(cause)
     return errors.StoreAnswerLostError(
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peer_streams.py
@@ -175,7 +175,9 @@
         connection = self._make(sock, lane)
         gevent.spawn(self._run, connection)
         connection.greeted.wait(timeout=HELLO_TIMEOUT_S)
-        if connection.other is None or connection.other.vm != vm:
+        named = vm if vm != f"{host}:{port}" else None  # A seed's address.
+        other = connection.other
+        if other is None or named not in (None, other.vm):
             connection.close()
             raise errors.PeerUnsentError(
                 f"{host}:{port} did not greet as {vm}",
--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -37,6 +37,7 @@
 from primrosecross.domain import stamp  # noqa: E402
 from primrosecross.models import settings as settings_model  # noqa: E402
 
+SEEDS_RETRY_S = 1.0
 EXIT_INVALID = 2
 EXIT_PORT_TAKEN = 3
 EXIT_CUT = 4
@@ -52,6 +53,7 @@
     """
 
     def __init__(self, settings: settings_model.Settings) -> None:
+        self._seeds = settings.seeds
         clock = boot_clock.BootClock()
         identity = membership.Identity(
             vm=settings.vm,
@@ -176,8 +178,13 @@
                 "until the store answers, and tries again",
                 error.problem,
             )
+            gevent.spawn(self._start_from_seeds)
         self.node.start()
 
+    def _start_from_seeds(self) -> None:
+        while not self.node.sync.start_from_seeds(self._seeds):
+            gevent.sleep(SEEDS_RETRY_S)
+
     def drain(self, *, limit_ms: int, hurry: Callable[[], bool]) -> int:
         """Takes no new callers and waits until nothing is in flight.
 
--- a/primrosecross/domain/membership.py
+++ b/primrosecross/domain/membership.py
@@ -168,7 +168,7 @@
 
     def _prove(self) -> None:
         proven_ns = self._clock.now_ns()
-        self._sync.read_store()
+        self._sync.read_assignment()
         member = self._state.member()
         if member is None or not self._is_current(member):
             return
--- a/primrosecross/domain/sync.py
+++ b/primrosecross/domain/sync.py
@@ -6,6 +6,8 @@
 
 import logging
 
+import gevent
+
 from primrosecross.domain import errors
 from primrosecross.domain import messages
 from primrosecross.domain import state as state_module
@@ -40,6 +42,8 @@
         self._archive = archive
         self._codec = codec
         self._fetching = False
+        self._started = False
+        self._waits_for_seeds = False
         state.subscribe(self._learn_addresses)
 
     def is_newer(self, *, assignment_version: int, plan_version: int) -> bool:
@@ -53,6 +57,8 @@
         """Asks a peer for newer state unless a peer is being asked."""
         if self._fetching:
             return
+        if self._waits_for_seeds and not self._started:
+            return
         self._fetching = True
         try:
             self.fetch_from(vm)
@@ -100,13 +106,87 @@
             errors.StoreError: The store did not answer or holds something
                 that is not ours; the state in force is kept.
         """
+        try:
+            self._read_plan()
+        finally:
+            self.read_assignment()
+        self._started = True
+
+    def _read_plan(self) -> None:
         plan, _ = self._archive.read_plan()
         if plan is not None:
             self._state.offer_plan(plan)
+
+    def read_assignment(self) -> None:
+        """Reads the assignment from the store.
+
+        Raises:
+            errors.StoreError: The store did not answer, or it holds none, one
+                older than the one in force, or something that is not ours.
+        """
+        in_force = self._state.assignment.version
         assignment, _ = self._archive.read_assignment()
+        version = assignment.version if assignment is not None else 0
+        if version < in_force:
+            raise errors.StoreObjectError(
+                f"the store's assignment {version} is older than {in_force}, "
+                "which was in force",
+                remedy="restore the store's newer copy; owners go on",
+            )
         if assignment is not None:
             self._state.offer_assignment(assignment)
 
+    def start_from_seeds(self, seeds: tuple[str, ...]) -> bool:
+        """Takes the newest state of a majority of seeds.
+
+        Any two majorities share a seed, so what was in force at a majority is
+        not missed. Until then nothing is taken from single peers.
+
+        Args:
+            seeds: Peer addresses, "ip:port".
+
+        Returns:
+            Whether a majority of them answered.
+        """
+        if self._started or not seeds:
+            return True
+        self._waits_for_seeds = True
+        tasks = [gevent.spawn(self._ask_seed, address) for address in seeds]
+        answers = [task.get() for task in gevent.joinall(tasks)]
+        snapshots = [answer for answer in answers if answer is not None]
+        if self._started:
+            return True
+        if len(snapshots) <= len(seeds) // 2:
+            _logger.warning(
+                "%d of %d seeds answered, a majority is needed; check that "
+                "their daemons run, or the store",
+                len(snapshots),
+                len(seeds),
+            )
+            return False
+        try:
+            for snapshot in snapshots:
+                self._accept(snapshot)
+        except (errors.PeerError, errors.StoreObjectError) as error:
+            _logger.warning("a seed's state cannot be read: %s", error)
+            return False
+        self._started = True
+        return True
+
+    def _ask_seed(self, address: str) -> messages.StateSnapshot | None:
+        question = messages.FetchState(assignment_version=0, plan_version=0)
+        self._peers.learn_address(address, address)
+        try:
+            answer = self._peers.call(
+                address, question, timeout_ms=FETCH_TIMEOUT_MS
+            )
+        except errors.PeerError as error:
+            _logger.warning("no state from seed %s: %s", address, error)
+            return None
+        if not isinstance(answer, messages.StateSnapshot):
+            return None
+        return answer if answer.assignment else None  # It knows nothing itself.
+
     def _learn_addresses(self) -> None:
         for member in self._state.assignment.members.values():
             self._peers.learn_address(member.vm, member.peer_address)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -179,6 +179,26 @@
         path.write_text(json.dumps(self.settings(name)))
         self._spawn(f"{name}-daemon", "primrosecross.daemon", str(path))
 
+    def start_twin(self, name: str, base_port: int) -> str:
+        """Starts a second daemon with a VM's name.
+
+        Args:
+            name: The VM.
+            base_port: First of its four ports.
+
+        Returns:
+            Address at which it takes announcements.
+        """
+        settings = self.settings(name)
+        uses = ("peer", "caller", "operator", "announce")
+        for offset, use in enumerate(uses):
+            settings[use] = {"host": "127.0.0.1", "port": base_port + offset}
+        settings["advertise"] = f"127.0.0.1:{base_port}"
+        path = self._directory / f"{name}-twin.json"
+        path.write_text(json.dumps(settings))
+        self._spawn(f"{name}-twin", "primrosecross.daemon", str(path))
+        return f"127.0.0.1:{base_port + uses.index('announce')}"
+
     def start_target(self, name: str) -> None:
         """Starts a VM's target."""
         vm = self.vms[name]
--- /dev/null
+++ b/tests/test_ownership_store.py
@@ -0,0 +1,167 @@
+"""What daemons make of the store's limits, outages and wrong contents."""
+
+import unittest
+
+from primrosecross.adapters import call_budget
+from primrosecross.adapters import object_archive
+from primrosecross.domain import assignment
+from primrosecross.domain import errors
+from primrosecross.domain import events
+from primrosecross.domain import messages
+from primrosecross.domain import plan
+from primrosecross.domain import stamp
+from primrosecross.domain import state as state_module
+from primrosecross.domain import sync as sync_module
+from primrosecross.ports import store
+from tests import fakes
+
+CODEC = object_archive.JsonStateCodec()
+
+
+class FakeStore:
+    """Objects in memory."""
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], store.StoredObject] = {}
+
+    def read(self, kind: str, name: str) -> store.StoredObject | None:
+        """Returns an object."""
+        return self.objects.get((kind, name))
+
+    def put(self, kind: str, spec: dict) -> None:
+        """Writes an object as a stranger would."""
+        name = object_archive.NAME
+        self.objects[kind, name] = store.StoredObject(kind, name, "1", spec)
+
+
+class FakeSeeds:
+    """Peers that answer with snapshots, or not."""
+
+    def __init__(self) -> None:
+        self.versions: dict[str, int | None] = {}
+
+    def learn_address(self, vm: str, address: str) -> None:
+        """Takes an address."""
+
+    def call(self, vm: str, *_: object, **__: object) -> messages.Message:
+        """Answers with the version set for a peer."""
+        version = self.versions.get(vm)
+        if version is None:
+            raise errors.PeerUnsentError("down", remedy="start it")
+        if not version:
+            return messages.StateSnapshot(plan=b"", assignment=b"")
+        found = assignment.Assignment(version=version)
+        return messages.StateSnapshot(
+            plan=b"", assignment=CODEC.encode_assignment(found)
+        )
+
+
+def make_state() -> state_module.State:
+    """Returns an empty state."""
+    clock = fakes.ManualClock()
+    timeline = events.Timeline(
+        vm="me", clock=clock, stamps=stamp.StampClock(clock=clock)
+    )
+    return state_module.State(vm="me", timeline=timeline)
+
+
+class SyncTest(unittest.TestCase):
+    """A daemon that starts, with a store and seeds."""
+
+    def setUp(self) -> None:
+        self.state = make_state()
+        self.store = FakeStore()
+        self.seeds = FakeSeeds()
+        self.sync = sync_module.Sync(
+            state=self.state,
+            peers=self.seeds,
+            archive=object_archive.ObjectArchive(store=self.store),
+            codec=CODEC,
+        )
+
+    def _put_assignment(self, version: int) -> None:
+        found = assignment.Assignment(version=version)
+        spec = object_archive.assignment_model.to_spec(found)
+        self.store.put(object_archive.ASSIGNMENTS, spec)
+
+    def test_corrupt_plan_does_not_keep_the_assignment_out(self):
+        self.store.put(object_archive.PLANS, {"foreign": True})
+        self._put_assignment(7)
+        with self.assertRaises(errors.StoreObjectError) as caught:
+            self.sync.read_store()
+        self.assertIn("the last good one stays", caught.exception.remedy)
+        self.assertEqual(self.state.assignment.version, 7)
+        self.assertIs(self.state.plan, plan.EMPTY)
+
+    def test_older_or_missing_assignment_in_the_store_is_no_proof(self):
+        self.state.offer_assignment(assignment.Assignment(version=9))
+        with self.assertRaises(errors.StoreObjectError):
+            self.sync.read_assignment()
+        self._put_assignment(8)
+        with self.assertRaises(errors.StoreObjectError):
+            self.sync.read_assignment()
+        self.assertEqual(self.state.assignment.version, 9)
+
+    def test_corruption_and_repair_are_logged_once(self):
+        self.store.put(object_archive.PLANS, {"foreign": True})
+        with self.assertLogs(object_archive.__name__) as logs:
+            for _ in range(3):
+                with self.assertRaises(errors.StoreObjectError):
+                    self.sync.read_store()
+            self.store.objects.clear()
+            self.sync.read_store()
+        levels = [record.levelname for record in logs.records]
+        self.assertEqual(levels, ["ERROR", "INFO"])
+
+    def _start(self, **versions: int | None) -> bool:
+        self.seeds.versions = versions
+        return self.sync.start_from_seeds(tuple(versions))
+
+    def test_newest_of_a_majority_of_seeds_is_taken(self):
+        self.assertTrue(self._start(a=5, b=8, c=None))
+        self.assertEqual(self.state.assignment.version, 8)
+
+    def test_less_than_a_majority_is_not_taken(self):
+        for versions in ({"b": None}, {"b": 0}):
+            with self.subTest(versions=versions):
+                self.assertFalse(self._start(a=5, c=None, **versions))
+                self.assertEqual(self.state.assignment.version, 0)
+
+    def test_stale_neighbour_is_not_taken_before_the_seeds(self):
+        self._start(a=None, b=8, c=None)
+        self.seeds.versions["stale"] = 3
+        self.sync.heard("stale", assignment_version=3, plan_version=0)
+        self.assertEqual(self.state.assignment.version, 0)
+        self._start(a=7, b=8, c=None)
+        self.sync.heard("stale", assignment_version=3, plan_version=0)
+        self.assertEqual(self.state.assignment.version, 8)
+
+
+class CallBudgetTest(unittest.TestCase):
+    """Calls on a manual clock."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.ManualClock()
+        self.budget = call_budget.CallBudget(clock=self.clock)
+
+    def test_rate_is_bounded(self):
+        started_ns = self.clock.now_ns()
+        calls = int(call_budget.BURST + 10 * call_budget.RATE_PER_S)
+        for _ in range(calls):
+            self.budget.spend("read plans")
+        took_s = (self.clock.now_ns() - started_ns) / 1e9
+        self.assertGreater(took_s, 8)
+        self.assertEqual(self.budget.counts["read plans"], calls)
+
+    def test_failures_space_calls_out_and_success_ends_that(self):
+        for _ in range(20):
+            self.budget.failed()
+        started_ns = self.clock.now_ns()
+        self.budget.spend("read plans")
+        waited_ms = (self.clock.now_ns() - started_ns) / 1e6
+        self.assertGreater(waited_ms, 0)
+        self.assertLessEqual(waited_ms, call_budget.MAX_BACKOFF_MS)
+        self.budget.succeeded()
+        self.budget.spend("read plans")
+        after_ms = (self.clock.now_ns() - started_ns) / 1e6
+        self.assertLess(after_ms - waited_ms, call_budget.MIN_BACKOFF_MS)
