Refuse to create an assignment anew while one is in force

Cause, found by reading: a coordinator that found no assignment in the store wrote an empty one, even when one was in force; a later one would have given all shards to others beside their owners. The test fails with the check after the write.

--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/coordinator.py
@@ -87,10 +87,12 @@
         self._balancer = balance.Balancer(clock=clock)
         self._term_number = 0
         self._store_version = ""
+        self._problem = ""
         self._inbox: list[_Taken] = []
         self._joins: dict[tuple[str, str], messages.Join] = {}
         self._suspicions: dict[tuple[str, int], dict[str, int]] = {}
         self._witnesses_since: dict[str, int] = {}
+        self._ignored_partitions: dict[str, int] = {}
         self._revoking: dict[str, gevent.Greenlet] = {}
         self._wake = gevent_event.Event()
         self._take = functools.singledispatch(self._take_unknown)
@@ -197,11 +199,18 @@
                 continue
             try:
                 self._decide()
+                self._problem = ""
             except errors.StoreError as error:
-                _logger.warning("no decision: %s", error)
-                self._store_version = ""
-                self._clock.sleep(REFUSE_PAUSE_MS * random.uniform(1, 3))
-                self._wake.set()
+                self._put_off(error)
+
+    def _put_off(self, error: errors.StoreError) -> None:
+        """Has the next round read the store again, after a pause."""
+        if self._problem != str(error):
+            _logger.warning("no decision: %s", error)
+        self._problem = str(error)
+        self._store_version = ""
+        self._clock.sleep(REFUSE_PAUSE_MS * random.uniform(1, 3))
+        self._wake.set()
 
     def _decide(self) -> None:
         if self._term_number != self._election.term_number:
@@ -240,15 +249,17 @@
 
     def _read_assignment(self) -> None:
         stored, version = self._archive.read_assignment()
-        if stored is None:
-            stored = assignment.Assignment(version=1)
-            version = self._archive.write_assignment(stored, "")
-        if stored.version < self._state.assignment.version:
+        stored_version = stored.version if stored is not None else 0
+        in_force = self._state.assignment.version
+        if stored_version < in_force:
             raise errors.StoreObjectError(
-                f"the store's assignment {stored.version} is older than "
-                f"{self._state.assignment.version}, which was in force",
+                f"the store's assignment {stored_version} is older than "
+                f"{in_force}, which was in force",
                 remedy="restore the store's newer copy; nothing was changed",
             )
+        if stored is None:
+            stored = assignment.Assignment(version=1)
+            version = self._archive.write_assignment(stored, "")
         self._state.offer_assignment(stored)
         self._store_version = version
         self._witnesses_since = witness_sets.unconfirmed(stored, {})
@@ -273,13 +284,15 @@
         table = draft.tables.get(service.name)
         if table is None or table.partitions == service.partitions:
             return service
-        _logger.warning(
-            "%s keeps its %d partitions, the plan's %d are ignored; "
-            "declare a new service to change their number",
-            service.name,
-            table.partitions,
-            service.partitions,
-        )
+        if self._ignored_partitions.get(service.name) != service.partitions:
+            self._ignored_partitions[service.name] = service.partitions
+            _logger.warning(
+                "%s keeps its %d partitions, the plan's %d are ignored; "
+                "declare a new service to change their number",
+                service.name,
+                table.partitions,
+                service.partitions,
+            )
         return dataclasses.replace(service, partitions=table.partitions)
 
     def _write(self, draft: decisions.Draft) -> None:
--- a/primrosecross/domain/election.py
+++ b/primrosecross/domain/election.py
@@ -58,6 +58,7 @@
         self._timeline = timeline
         self._term: archive_port.Term | None = None
         self._version = ""
+        self._problem = ""
         self._changed_ns = clock.now_ns()
         self._office_until_ns = 0
 
@@ -85,8 +86,11 @@
     def _try_campaign(self) -> None:
         try:
             self.campaign()
+            self._problem = ""
         except errors.StoreError as error:
-            _logger.warning("coordinator's term: %s", error)
+            if self._problem != str(error):
+                _logger.warning("coordinator's term: %s", error)
+            self._problem = str(error)
             self._version = ""
 
     def campaign(self) -> None:
