--- a/primrosecross/domain/sync.py
+++ b/primrosecross/domain/sync.py
@@ -57,8 +57,6 @@
         """Asks a peer for newer state unless a peer is being asked."""
         if self._fetching:
             return
-        if self._waits_for_seeds and not self._started:
-            return
         self._fetching = True
         try:
             self.fetch_from(vm)
@@ -66,7 +64,12 @@
             self._fetching = False
 
     def fetch_from(self, vm: str) -> bool:
-        """Asks a peer for newer state; returns whether it answered."""
+        """Asks a peer for newer state; returns whether it answered.
+
+        A daemon that still waits for a majority of seeds asks nobody else.
+        """
+        if self._waits_for_seeds and not self._started:
+            return False
         question = messages.FetchState(
             assignment_version=self._state.assignment.version,
             plan_version=self._state.plan.version,
--- a/tests/test_ownership_store.py
+++ b/tests/test_ownership_store.py
@@ -130,10 +130,10 @@
     def test_stale_neighbour_is_not_taken_before_the_seeds(self):
         self._start(a=None, b=8, c=None)
         self.seeds.versions["stale"] = 3
-        self.sync.heard("stale", assignment_version=3, plan_version=0)
+        self.sync.fetch_once("stale")
         self.assertEqual(self.state.assignment.version, 0)
         self._start(a=7, b=8, c=None)
-        self.sync.heard("stale", assignment_version=3, plan_version=0)
+        self.sync.fetch_once("stale")
         self.assertEqual(self.state.assignment.version, 8)
 
 
