Have the test's plan reach all daemons before the store goes down

The test is about daemons that start in an outage never going behind a majority, so the plan must be in force at one first; what it asserts is unchanged.

--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -121,9 +121,10 @@
         self.cluster.freeze(stale)
         plan = cluster_module.plan_json(max_wait_ms=200 + version)
         self.cluster.apply(plan, version, "ana")
-        self.cluster.wait_for(
-            lambda: self.cluster.status(restarted).plan_version > version
-        )
+        for vm in self.cluster.alive():
+            self.cluster.wait_for(
+                lambda vm=vm: self.cluster.status(vm).plan_version > version
+            )
         self.cluster.fleet.set_faults(down=True)
         self.cluster.thaw(stale)
         self.cluster.kill(restarted)
