--- a/primrosecross/adapters/object_archive.py
+++ b/primrosecross/adapters/object_archive.py
@@ -7,9 +7,11 @@
 import pydantic
 
 from primrosecross.domain import assignment
+from primrosecross.domain import delta
 from primrosecross.domain import errors
 from primrosecross.domain import plan
 from primrosecross.models import assignment as assignment_model
+from primrosecross.models import delta as delta_model
 from primrosecross.models import plan as plan_model
 from primrosecross.models import settings as settings_model
 from primrosecross.ports import archive as archive_port
@@ -169,6 +171,14 @@
         """Returns the assignment."""
         return assignment_model.from_spec(_inflate(data))
 
+    def encode_delta(self, value: delta.Delta) -> bytes:
+        """Returns the encoded change of the assignment."""
+        return _deflate(delta_model.to_spec(value))
+
+    def decode_delta(self, data: bytes) -> delta.Delta:
+        """Returns the change."""
+        return delta_model.from_spec(_inflate(data))
+
 
 def _deflate(spec: dict[str, Any]) -> bytes:
     return zlib.compress(json.dumps(spec).encode())
--- a/primrosecross/domain/assignment.py
+++ b/primrosecross/domain/assignment.py
@@ -217,10 +217,15 @@
         The partition gets a new generation, so that no target that served the
         key under its own later grant sees an earlier one.
         """
-        grant = self.key_grants.pop(key_shard)
-        self.owned()[grant.vm].discard(key_shard)
+        self.drop_key(key_shard)
         self.generations[self.partition_under(key_shard)] = generation
 
+    def drop_key(self, key_shard: int) -> None:
+        """Makes a key belong to its partition again."""
+        grant = self.key_grants.pop(key_shard, NO_GRANT)
+        self.owned().get(grant.vm, set()).discard(key_shard)
+        self.moves.pop(key_shard, None)
+
     def owned(self) -> dict[str, set[int]]:
         """Returns the shards of each VM; "" holds those without an owner."""
         if self._owned is None:
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -365,10 +365,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateSnapshot:
-    """Encoded plan and assignment; empty where not newer than asked for."""
+    """Encoded plan and assignment; empty where not newer than asked for.
+
+    Attributes:
+        delta: Encoded change from the assignment asked with, in place of the
+            whole one.
+    """
 
     plan: bytes
     assignment: bytes
+    delta: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/domain/state.py
+++ b/primrosecross/domain/state.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from primrosecross.domain import assignment
+from primrosecross.domain import delta
 from primrosecross.domain import events
 from primrosecross.domain import plan
 
@@ -21,6 +22,7 @@
         self._listeners: list[Callable[[], None]] = []
         self.plan = plan.EMPTY
         self.assignment = assignment.Assignment()
+        self.deltas = delta.DeltaLog()
 
     @property
     def vm(self) -> str:
@@ -47,6 +49,7 @@
         if candidate.version <= self.assignment.version:
             return False
         services = self._owned(self.assignment, candidate)
+        self.deltas.follow(self.assignment, candidate)
         self.assignment = candidate
         if any(s.gained or s.lost for s in services):
             self._timeline.record(
--- a/primrosecross/domain/sync.py
+++ b/primrosecross/domain/sync.py
@@ -6,6 +6,7 @@
 
 import logging
 
+from primrosecross.domain import delta as delta_module
 from primrosecross.domain import errors
 from primrosecross.domain import messages
 from primrosecross.domain import state as state_module
@@ -82,16 +83,32 @@
             self._state.offer_assignment(
                 self._codec.decode_assignment(snapshot.assignment)
             )
+        if snapshot.delta:
+            change = self._codec.decode_delta(snapshot.delta)
+            newer = delta_module.apply(change, self._state.assignment)
+            if newer is not None:
+                self._state.offer_assignment(newer)
 
     def snapshot(self, question: messages.FetchState) -> messages.StateSnapshot:
         """Answers a peer's question for newer state."""
         plan = b""
         assignment = b""
+        delta = b""
         if self._state.plan.version > question.plan_version:
             plan = self._codec.encode_plan(self._state.plan)
         if self._state.assignment.version > question.assignment_version:
+            delta = self._encode_delta(question.assignment_version)
+        if self._state.assignment.version > question.assignment_version and (
+            not delta
+        ):
             assignment = self._codec.encode_assignment(self._state.assignment)
-        return messages.StateSnapshot(plan=plan, assignment=assignment)
+        return messages.StateSnapshot(
+            plan=plan, assignment=assignment, delta=delta
+        )
+
+    def _encode_delta(self, version: int) -> bytes:
+        change = self._state.deltas.since(version)
+        return b"" if change is None else self._codec.encode_delta(change)
 
     def read_store(self) -> None:
         """Reads plan and assignment from the store.
--- a/primrosecross/models/assignment.py
+++ b/primrosecross/models/assignment.py
@@ -102,12 +102,13 @@
     """Returns an assignment in its stored form."""
     return {
         "version": value.version,
-        "members": [_member_spec(m) for m in value.members.values()],
+        "members": [member_spec(m) for m in value.members.values()],
         "tables": [_table_spec(t) for t in value.tables.values()],
     }
 
 
-def _member_spec(member: assignment.Member) -> dict[str, Any]:
+def member_spec(member: assignment.Member) -> dict[str, Any]:
+    """Returns a member in its stored form."""
     return {
         "vm": member.vm,
         "place": member.place,
@@ -165,7 +166,7 @@
         raise _corrupt(settings.describe(error)) from error
     except (ValueError, zlib.error) as error:
         raise _corrupt(str(error)) from error
-    members = {m.vm: _member(m) for m in model.members}
+    members = {m.vm: member_of(m) for m in model.members}
     for table in tables.values():
         _check_owners(table)
     return assignment.Assignment(
@@ -180,7 +181,8 @@
     )
 
 
-def _member(model: MemberModel) -> assignment.Member:
+def member_of(model: MemberModel) -> assignment.Member:
+    """Returns a member from its stored form."""
     return assignment.Member(
         vm=model.vm,
         place=model.place,
--- a/primrosecross/ports/archive.py
+++ b/primrosecross/ports/archive.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from primrosecross.domain import assignment
+from primrosecross.domain import delta
 from primrosecross.domain import plan
 
 
@@ -76,3 +77,9 @@
 
     def decode_assignment(self, data: bytes) -> assignment.Assignment:
         """Returns the assignment; raises errors.PeerProtocolError."""
+
+    def encode_delta(self, value: delta.Delta) -> bytes:
+        """Returns the encoded change of the assignment."""
+
+    def decode_delta(self, data: bytes) -> delta.Delta:
+        """Returns the change; raises errors.PeerProtocolError."""
