--- a/primrosecross/domain/balance.py
+++ b/primrosecross/domain/balance.py
@@ -15,6 +15,7 @@
 OUTER_BAND = 0.10
 INNER_BAND = 0.04
 REST_MS = 30_000
+RECHECK_MS = 5000
 MIN_MOVES = 16
 PARTITIONS_PER_MOVE = 32
 
@@ -47,6 +48,21 @@
         self._hot_keys: dict[str, hot_keys.HotKeys] = {}
         self._moved_ns: dict[tuple[str, int], int] = {}
         self._evening: set[str] = set()
+        self._next_ns = 0
+        self._plan_version = -1
+
+    def is_due(self, plan_version: int) -> bool:
+        """Tells whether owners are to be looked at though no member changed.
+
+        So it is for a plan not seen before, a key reported hot, and now and
+        then for slower changes of load.
+        """
+        now_ns = self._clock.now_ns()
+        if plan_version == self._plan_version and now_ns < self._next_ns:
+            return False
+        self._plan_version = plan_version
+        self._next_ns = now_ns + RECHECK_MS * lease_module.NS_PER_MS
+        return True
 
     def demand_of(self, service: str) -> demand_module.Demand:
         """Returns what is known of a service's load."""
@@ -77,6 +93,8 @@
                 hot = hot or shard not in table.key_grants
             else:
                 demand.forget(shard)
+        if hot:
+            self._next_ns = 0
         return hot
 
     def assign(
--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/coordinator.py
@@ -226,7 +226,8 @@
         draft.assignment.version += 1
         changed = sum(decisions.apply(message, draft) for message in inbox)
         changed += witness_sets.maintain(draft.assignment)
-        changed += self._assign(draft.assignment)
+        if changed or self._balancer.is_due(self._state.plan.version):
+            changed += self._assign(draft.assignment)
         changed += decisions.renew_kept(before, draft.assignment)
         if changed:
             self._write(draft)
