Test a drain with real processes

A request of 4 s runs on the leaving owner; its other keys are answered elsewhere within 3 s together, the long answer comes from the leaving VM, nothing new runs there, and undrain gives it shards again.

--- a/bench/balance.py
+++ b/bench/balance.py
@@ -116,7 +116,7 @@
             place=f"place-{number % 6}",
             region=f"region-{number % 2}",
             peer_address=f"10.0.{number // 256}.{number % 256}:7000",
-            incarnation=xxhash.xxh3_128_hexdigest(str(number)),
+            incarnation=xxhash.xxh3_128_hexdigest(f"{number}".encode()),
             epoch=1,
             witnesses=(),
             offers=(assignment.Offer(SERVICE, 16, True),),
--- /dev/null
+++ b/tests/test_drain_process.py
@@ -0,0 +1,117 @@
+"""A drain of real processes: no new work, nothing cut, short gaps."""
+
+import json
+import pathlib
+import tempfile
+import threading
+import time
+import unittest
+import urllib.error
+import urllib.request
+
+import grpc
+
+from primrosecross.rpc import operator_pb2
+from primrosecross.rpc import operator_pb2_grpc
+from standins import fleet
+
+BASE_PORT = 25600
+PLAN = pathlib.Path("examples/brno/plan.json")
+READY_S = 20.0
+NO_NEW_WORK_S = 3.0
+LONG_MS = 4000
+KEYS = [f"booking-{number}" for number in range(24)]
+
+
+class DrainTest(unittest.TestCase):
+    """Three VMs of one keyed service; the owner of a long request leaves."""
+
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.fleet = fleet.Fleet(
+            vms=[
+                fleet.Vm(
+                    f"rezervace-{n}",
+                    f"brno-{'abc'[n]}",
+                    "jihomoravsky",
+                    "rezervace",
+                )
+                for n in range(3)
+            ],
+            directory=pathlib.Path(directory.name),
+            base_port=BASE_PORT,
+        )
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        channel = grpc.insecure_channel(
+            self.fleet.address("rezervace-0", "operator")
+        )
+        self.addCleanup(channel.close)
+        self.stub = operator_pb2_grpc.OperatorStub(channel)
+        self.stub.ApplyPlan(
+            operator_pb2.ApplyPlanRequest(
+                plan_json=PLAN.read_bytes(), expected_version=0, author="test"
+            ),
+            timeout=READY_S,
+            wait_for_ready=True,
+        )
+        self.wait_for(lambda: len({self.owner(key) for key in KEYS}) == 3)
+
+    def wait_for(self, condition) -> None:
+        until_s = time.monotonic() + READY_S
+        while not condition():
+            self.assertLess(time.monotonic(), until_s, "not ready in time")
+            time.sleep(0.1)
+
+    def owner(self, key: str) -> str:
+        return self.ask("rezervace-0", key, "book").get("vm", "")
+
+    def ask(self, vm: str, key: str, path: str) -> dict:
+        request = urllib.request.Request(
+            f"http://{self.fleet.address(vm, 'caller')}/rezervace/{key}/{path}",
+            data=b"{}",
+            method="POST",
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=10) as answer:
+                return json.loads(answer.read())
+        except urllib.error.HTTPError:
+            return {}
+
+    def shards(self, vm: str) -> int:
+        status = self.stub.GetStatus(operator_pb2.GetStatusRequest())
+        return next(m.shards for m in status.members if m.vm == vm)
+
+    def journal(self, vm: str) -> int:
+        path = self.fleet.journal(vm)
+        return len(path.read_text().splitlines()) if path.exists() else 0
+
+    def test_drain_and_undrain(self):
+        leaving = "rezervace-1"
+        owned = [key for key in KEYS if self.owner(key) == leaving]
+        long_key, others = owned[0], [k for k in owned[1:] if k != owned[0]]
+        long_answer: list[dict] = []
+        path = f"work?ms={LONG_MS}"
+        long_request = threading.Thread(
+            target=lambda: long_answer.append(
+                self.ask("rezervace-0", long_key, path)
+            )
+        )
+        long_request.start()
+        self.wait_for(lambda: self.journal(leaving) > len(owned))
+        self.stub.Drain(operator_pb2.DrainRequest(vm=leaving))
+        gaps = []
+        for key in others:
+            started_s = time.monotonic()
+            self.wait_for(lambda key=key: self.owner(key) not in ("", leaving))
+            gaps.append(time.monotonic() - started_s)
+        self.assertLess(sum(gaps), NO_NEW_WORK_S)
+        worked = self.journal(leaving)
+        long_request.join()
+        self.assertEqual(long_answer[0].get("vm"), leaving)
+        self.wait_for(lambda: self.shards(leaving) == 0)
+        self.assertNotEqual(self.owner(long_key), leaving)
+        self.assertEqual(self.journal(leaving), worked)
+        self.stub.Undrain(operator_pb2.UndrainRequest(vm=leaving))
+        self.wait_for(lambda: self.shards(leaving) > 0)
