--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -150,6 +150,12 @@
         self._operations.undrain(request.vm)
         return operator_pb2.UndrainReply()
 
+    @_translates
+    def Move(self, request):  # noqa: N802
+        """Keeps a key at a VM."""
+        self._operations.move(request.service, request.key, request.vm)
+        return operator_pb2.MoveReply()
+
     @_translates
     def GetStatus(self, request):  # noqa: N802
         """Returns members and what is in force at each."""
--- a/tests/test_drain_process.py
+++ b/tests/test_drain_process.py
@@ -87,7 +87,7 @@
         path = self.fleet.journal(vm)
         return len(path.read_text().splitlines()) if path.exists() else 0
 
-    def test_drain_and_undrain(self):
+    def test_drain_undrain_and_move(self):
         leaving = "rezervace-1"
         owned = [key for key in KEYS if self.owner(key) == leaving]
         long_key, others = owned[0], [k for k in owned[1:] if k != owned[0]]
@@ -115,3 +115,9 @@
         self.assertEqual(self.journal(leaving), worked)
         self.stub.Undrain(operator_pb2.UndrainRequest(vm=leaving))
         self.wait_for(lambda: self.shards(leaving) > 0)
+        self.stub.Move(
+            operator_pb2.MoveRequest(
+                service="rezervace", key=long_key, vm=leaving
+            )
+        )
+        self.wait_for(lambda: self.owner(long_key) == leaving)
