Take a key's hot rate from the last decision

Cause: each load report summed the weights of 16384 partitions; at 26 full reports a second from 620 members that would be a few per cent of a core.

--- a/bench/balance.py
+++ b/bench/balance.py
@@ -145,7 +145,7 @@
         """Returns the rate of each member; owners report their shards."""
         rates: collections.Counter[int] = collections.Counter()
         table = self.table
-        hot_rate = self.balancer.hot_rate(SERVICE, self.present)
+        hot_rate = self.balancer.hot_rate(SERVICE)
         hot: dict[int, float] = {}
         for key_hash, rate in zip(traffic.hashes, traffic.rates, strict=True):
             shard = table.shard_of_hash(key_hash)
--- a/primrosecross/domain/balance.py
+++ b/primrosecross/domain/balance.py
@@ -48,6 +48,7 @@
         self._hot_keys: dict[str, hot_keys.HotKeys] = {}
         self._moved_ns: dict[tuple[str, int], int] = {}
         self._evening: set[str] = set()
+        self._mean_shares: dict[str, float] = {}
         self._next_ns = 0
         self._plan_version = -1
 
@@ -143,20 +144,14 @@
         )
         demand = self.demand_of(service)
         share = hot_keys.mean_share(demand, table, members=len(owners))
+        self._mean_shares[service] = share
         return keys.sort_out(
             table, demand, mean_share=share, version=draft.version
         )
 
-    def hot_rate(self, service: str, draft: assignment.Assignment) -> float:
-        """Returns the rate from which on a key is worth reporting."""
-        table = draft.tables.get(service)
-        members = sum(m.offers_service(service) for m in draft.members.values())
-        if table is None or not members:
-            return 0.0
-        share = hot_keys.mean_share(
-            self.demand_of(service), table, members=members
-        )
-        return hot_keys.SET_APART_SHARE * share
+    def hot_rate(self, service: str) -> float:
+        """Returns the least rate of a key worth reporting, 0 if unknown."""
+        return hot_keys.SET_APART_SHARE * self._mean_shares.get(service, 0.0)
 
     def _work(
         self,
--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/coordinator.py
@@ -179,9 +179,7 @@
         if self._balancer.take_report(report, self._state.assignment):
             self._wake.set()
         term = f"{self._vm}/{self._election.term_number}"
-        hot_rate = self._balancer.hot_rate(
-            report.service, self._state.assignment
-        )
+        hot_rate = self._balancer.hot_rate(report.service)
         return messages.LoadAck(coordinator=term, hot_rate=round(hot_rate))
 
     def _list_confirmed(self, _: messages.ListConfirmed) -> messages.Message:
