Release a partition without the few keys whose requests run long

Cause: one request of minutes kept its whole partition from being served during a planned hand-over. After 500 ms the owner releases the partition and names up to 8 busy keys; they are set apart under its own grant and follow when idle. Only those keys are refused meanwhile.

--- a/primrosecross/domain/decisions.py
+++ b/primrosecross/domain/decisions.py
@@ -187,11 +187,27 @@
         if receiver is None or table.grant_of(shard) != released:
             continue
         if receiver.state is assignment.MemberState.ACTIVE:
+            _keep_busy(table, shard, release.busy_keys)
             table.set_owner(shard, receiver.vm, draft.assignment.version)
             completed += 1
     return completed
 
 
+def _keep_busy(
+    table: assignment.OwnerTable, partition: int, busy: tuple[int, ...]
+) -> None:
+    """Leaves keys whose requests still run with the partition's owner.
+
+    They follow once they are released too; until then they are refused.
+    """
+    for key_shard in busy:
+        if key_shard in table.key_grants:
+            continue
+        if table.partition_under(key_shard) == partition:
+            table.set_apart(key_shard)
+            table.moves[key_shard] = table.moves[partition]
+
+
 def renew_kept(
     before: assignment.Assignment, draft: assignment.Assignment
 ) -> int:
--- a/primrosecross/domain/handover.py
+++ b/primrosecross/domain/handover.py
@@ -8,12 +8,15 @@
 
 from primrosecross.domain import assignment
 from primrosecross.domain import errors
+from primrosecross.domain import hot_keys
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
 from primrosecross.domain import office as office_module
 from primrosecross.domain import state as state_module
 from primrosecross.ports import clock as clock_port
 
+PATIENCE_MS = 500
+MAX_BUSY_KEYS = 8
 RELEASE_PAUSE_MS = 50
 RELEASE_TIMEOUT_MS = 2000
 IDLE_MS = 1000
@@ -50,6 +53,7 @@
         self._running: collections.Counter[tuple[str, int]] = (
             collections.Counter()
         )
+        self._waiting_ns: dict[tuple[str, int], int] = {}
         self._wake = gevent_event.Event()
         state.subscribe(self._wake.set)
 
@@ -97,27 +101,49 @@
                 continue
             shards = self._to_release(table)
             leaving += len(shards)
-            busy = self._busy(table) if shards else set()
-            idle = tuple(shard for shard in shards if shard not in busy)
-            if idle:
-                self._release(member.epoch, table, idle)
+            busy = self._busy(table) if shards else {}
+            ready = tuple(s for s in shards if self._is_ready(table, s, busy))
+            if ready:
+                self._release(member.epoch, table, ready, busy)
+        if not leaving:
+            self._waiting_ns.clear()
         return leaving
 
+    def _is_ready(
+        self, table: assignment.OwnerTable, shard: int, busy: dict[int, set]
+    ) -> bool:
+        """Tells whether a shard can be released now.
+
+        A partition that waited long goes without its few busy keys.
+        """
+        if shard not in busy:
+            return True
+        now_ns = self._clock.now_ns()
+        since_ns = self._waiting_ns.setdefault((table.service, shard), now_ns)
+        if shard & assignment.KEY_SHARD_BIT or len(busy[shard]) > MAX_BUSY_KEYS:
+            return False
+        if len(table.key_grants) + MAX_BUSY_KEYS > hot_keys.MAX_KEYS:
+            return False
+        return now_ns - since_ns >= PATIENCE_MS * lease_module.NS_PER_MS
+
     def _to_release(self, table: assignment.OwnerTable) -> list[int]:
         return [s for s in table.moves if table.grant_of(s).vm == self._vm]
 
-    def _busy(self, table: assignment.OwnerTable) -> set[int]:
-        return {
-            table.shard_of_hash(key_hash)
-            for service, key_hash in self._running
-            if service == table.service
-        }
+    def _busy(self, table: assignment.OwnerTable) -> dict[int, set[int]]:
+        """Returns the key shards whose requests run, by their shard."""
+        busy: dict[int, set[int]] = {}
+        for service, key_hash in self._running:
+            if service == table.service:
+                keys = busy.setdefault(table.shard_of_hash(key_hash), set())
+                keys.add(key_hash | assignment.KEY_SHARD_BIT)
+        return busy
 
     def _release(
         self,
         epoch: int,
         table: assignment.OwnerTable,
         shards: tuple[int, ...],
+        busy: dict[int, set[int]],
     ) -> None:
         release = messages.Release(
             vm=self._vm,
@@ -125,6 +151,7 @@
             service=table.service,
             shards=shards,
             generations=tuple(table.grant_of(s).generation for s in shards),
+            busy_keys=tuple(key for s in shards for key in busy.get(s, ())),
         )
         try:
             self._office.tell(release, timeout_ms=RELEASE_TIMEOUT_MS)
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -175,6 +175,8 @@
 
     Attributes:
         generations: Generation under which each shard was owned.
+        busy_keys: Key shards whose requests still run in released partitions;
+            the sender keeps these until they are done.
     """
 
     vm: str
@@ -182,6 +184,7 @@
     service: str
     shards: tuple[int, ...]
     generations: tuple[int, ...]
+    busy_keys: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,6 +5,7 @@
 import unittest
 
 from primrosecross.domain import assignment
+from primrosecross.domain import decisions
 from primrosecross.domain import events
 from primrosecross.domain import handover
 from primrosecross.domain import lease
@@ -180,6 +181,25 @@
             self.assertEqual(self.released(), {1, 2})
         self.assertEqual(self.released(), {self.partition, 1, 2})
 
+    def test_long_request_keeps_only_its_own_key(self):
+        self.change()
+        self.table.moves = {self.partition: "vm-1"}
+        self.state.offer_assignment(self.present)
+        shard = self.key_hash | assignment.KEY_SHARD_BIT
+        with self.hand_over.running(assignments.SERVICE, self.key_hash):
+            self.assertEqual(self.released(), set())
+            self.clock.advance(handover.PATIENCE_MS)
+            self.assertEqual(self.released(), {self.partition})
+            self.change()
+            draft = decisions.Draft(self.present)
+            decisions.apply(self.office.told[0], draft)
+            self.state.offer_assignment(self.present)
+            self.assertEqual(self.table.grant_of(self.partition).vm, "vm-1")
+            self.assertEqual(self.table.grant_of(shard).vm, VM)
+            self.assertEqual(self.table.moves, {shard: "vm-1"})
+            self.assertEqual(self.released(), set())
+        self.assertEqual(self.released(), {shard})
+
     def test_key_set_apart_while_its_request_runs(self):
         """The request began under the partition; the key must not move."""
         shard = self.key_hash | assignment.KEY_SHARD_BIT
