--- a/primrosecross/domain/balance.py
+++ b/primrosecross/domain/balance.py
@@ -15,6 +15,7 @@
 OUTER_BAND = 0.10
 INNER_BAND = 0.04
 REST_MS = 30_000
+RECHECK_MS = 5000
 MIN_MOVES = 16
 PARTITIONS_PER_MOVE = 32
 
@@ -47,6 +48,22 @@
         self._hot_keys: dict[str, hot_keys.HotKeys] = {}
         self._moved_ns: dict[tuple[str, int], int] = {}
         self._evening: set[str] = set()
+        self._mean_shares: dict[str, float] = {}
+        self._next_ns = 0
+        self._plan_version = -1
+
+    def is_due(self, plan_version: int) -> bool:
+        """Tells whether owners are to be looked at though no member changed.
+
+        So it is for a plan not seen before, a key reported hot, and now and
+        then for slower changes of load.
+        """
+        now_ns = self._clock.now_ns()
+        if plan_version == self._plan_version and now_ns < self._next_ns:
+            return False
+        self._plan_version = plan_version
+        self._next_ns = now_ns + RECHECK_MS * lease_module.NS_PER_MS
+        return True
 
     def demand_of(self, service: str) -> demand_module.Demand:
         """Returns what is known of a service's load."""
@@ -77,6 +94,8 @@
                 hot = hot or shard not in table.key_grants
             else:
                 demand.forget(shard)
+        if hot:
+            self._next_ns = 0
         return hot
 
     def assign(
@@ -125,20 +144,14 @@
         )
         demand = self.demand_of(service)
         share = hot_keys.mean_share(demand, table, members=len(owners))
+        self._mean_shares[service] = share
         return keys.sort_out(
             table, demand, mean_share=share, version=draft.version
         )
 
-    def hot_rate(self, service: str, draft: assignment.Assignment) -> float:
-        """Returns the rate from which on a key is worth reporting."""
-        table = draft.tables.get(service)
-        members = sum(m.offers_service(service) for m in draft.members.values())
-        if table is None or not members:
-            return 0.0
-        share = hot_keys.mean_share(
-            self.demand_of(service), table, members=members
-        )
-        return hot_keys.SET_APART_SHARE * share
+    def hot_rate(self, service: str) -> float:
+        """Returns the least rate of a key worth reporting, 0 if unknown."""
+        return hot_keys.SET_APART_SHARE * self._mean_shares.get(service, 0.0)
 
     def _work(
         self,
--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/coordinator.py
@@ -181,9 +181,7 @@
         if self._balancer.take_report(report, self._state.assignment):
             self._wake.set()
         term = f"{self._vm}/{self._election.term_number}"
-        hot_rate = self._balancer.hot_rate(
-            report.service, self._state.assignment
-        )
+        hot_rate = self._balancer.hot_rate(report.service)
         return messages.LoadAck(coordinator=term, hot_rate=round(hot_rate))
 
     def _list_confirmed(self, _: messages.ListConfirmed) -> messages.Message:
@@ -235,7 +233,8 @@
         draft.assignment.version += 1
         changed = sum(decisions.apply(message, draft) for message in inbox)
         changed += witness_sets.maintain(draft.assignment)
-        changed += self._assign(draft.assignment)
+        if changed or self._balancer.is_due(self._state.plan.version):
+            changed += self._assign(draft.assignment)
         changed += decisions.renew_kept(before, draft.assignment)
         if changed:
             self._write(draft)
