Send an answer's headers and body in one write

Cause: the WSGI server writes headers and body separately, so a request costs three sends. Counted under cProfile in a trial of border and target (a real target process, a stub router, 12 callers): 3.0 sends a request before, 2.0 after. CPU time of the same trial on the busy machine was too noisy to tell (before 823 and 642 us a request, after 749 and 873 us).

--- a/primrosecross/adapters/caller_connection.py
+++ b/primrosecross/adapters/caller_connection.py
@@ -34,6 +34,16 @@
         return line
 
 
+class _Gatherer:
+    """Collects what would be sent in several writes."""
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+
+    def sendall(self, data: bytes) -> None:
+        self.parts.append(data)
+
+
 class Handler(pywsgi.WSGIHandler):
     """Serves one caller's connection; slow callers are closed."""
 
@@ -66,6 +76,19 @@
             self.rfile = source
         raise ValueError(f"the headers took over {HEADERS_S:.0f} s")
 
+    def write(self, data: bytes) -> None:
+        """Sends the headers together with the first bytes of the body."""
+        if self.headers_sent:
+            super().write(data)
+            return
+        sock, gatherer = self.socket, _Gatherer()
+        self.socket = gatherer
+        try:
+            super().write(data)
+        finally:
+            self.socket = sock
+        sock.sendall(b"".join(gatherer.parts))
+
     def get_environ(self) -> dict[str, Any]:
         """Adds the socket, so that a caller who leaves can be noticed."""
         environ = super().get_environ()
