--- a/tests/test_transport_bodies.py
+++ b/tests/test_transport_bodies.py
@@ -3,6 +3,7 @@
 import http.client
 import unittest
 import zlib
+from unittest import mock
 
 import gevent
 from gevent import pywsgi
@@ -201,6 +202,7 @@
         self.assertEqual(sock.recv(100), b"")
         sock.close()
 
+    @mock.patch.object(caller_connection, "HEADERS_S", 1.0)
     def test_slow_and_long_headers_end_the_connection(self):
         sock = gevent_socket.create_connection(("127.0.0.1", self.port))
         sock.sendall(b"GET / HTTP/1.1\r\n")
