--- a/primrosecross/adapters/peer_connection.py
+++ b/primrosecross/adapters/peer_connection.py
@@ -5,17 +5,19 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import functools
 import logging
 import socket
-import types
+from collections.abc import Iterator
 
 import gevent
 from gevent import event as gevent_event
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import peer_body
+from primrosecross.adapters import peer_call
 from primrosecross.adapters import peer_codec
 from primrosecross.domain import body
 from primrosecross.domain import errors
@@ -32,6 +34,7 @@
 MAX_ANSWERING = 2048
 MAX_STREAMS = 64
 MAX_QUEUED = 8192
+_NO_BODY = contextlib.nullcontext()
 
 _logger = logging.getLogger(__name__)
 
@@ -44,32 +47,6 @@
     received_bytes: int = 0
 
 
-class _Call:
-    """A message sent and the answer awaited.
-
-    Attributes:
-        sent: Whether any byte of it may have left.
-        abandoned: Whether the writer must skip it.
-    """
-
-    __slots__ = ("abandoned", "answer", "outgoing", "sent")
-
-    def __init__(self) -> None:
-        self.sent = False
-        self.abandoned = False
-        self.answer = gevent_event.AsyncResult()
-        self.outgoing: peer_body.Outgoing | None = None
-
-    def fail(self) -> None:
-        kind = errors.PeerLostError if self.sent else errors.PeerUnsentError
-        self.answer.set_exception(
-            kind(
-                "the connection ended before the answer",
-                remedy="check the peer and the network to it",
-            )
-        )
-
-
 class Connection:
     """One connection to another daemon.
 
@@ -102,12 +79,12 @@
         self._stamps = stamps
         self._counts = counts
         self._decoder = peer_codec.Decoder()
-        self._pending: list[tuple[bytes, _Call | None]] = []
+        self._pending: list[tuple[bytes, peer_call.Call | None]] = []
         self._turns: collections.deque[tuple[int, bool, peer_body.Outgoing]] = (
             collections.deque()
         )
         self._ready = gevent_event.Event()
-        self._calls: dict[int, _Call] = {}
+        self._calls: dict[int, peer_call.Call] = {}
         self._answering: dict[int, gevent.Greenlet] = {}
         self._incoming: dict[tuple[int, bool], peer_body.Incoming] = {}
         self._outgoing: dict[tuple[int, bool], peer_body.Outgoing] = {}
@@ -334,7 +311,7 @@
         message: messages.Message,
         *,
         is_answer: bool,
-        waiting: _Call | None = None,
+        waiting: peer_call.Call | None = None,
     ) -> None:
         if not self.closed:
             data = self._encode(call, is_answer, message)
@@ -403,14 +380,14 @@
             )
         self._last_call += 1
         number = self._last_call
-        call = _Call()
+        call = peer_call.Call()
         self._calls[number] = call
         self._post(number, message, is_answer=False, waiting=call)
         try:
             with self._sending_body(number, message):
                 return call.answer.get(timeout=timeout_ms / 1000)
         except gevent.Timeout as error:
-            raise _late(call, timeout_ms) from error
+            raise call.late(timeout_ms) from error
         finally:
             if self._calls.pop(number, None) is not None:
                 call.abandoned = True
@@ -419,12 +396,23 @@
 
     def _sending_body(
         self, number: int, message: messages.Message
-    ) -> "_BodyTask | _NoBody":
+    ) -> contextlib.AbstractContextManager:
         stream = messages.body_of(message)
         if not isinstance(stream, body.Stream):
             return _NO_BODY
+        return self._send_body(number, stream)
+
+    @contextlib.contextmanager
+    def _send_body(self, number: int, stream: body.Stream) -> Iterator[None]:
+        """Sends a call's body while its answer is awaited."""
         outgoing = self._make_outgoing(number, False, stream)
-        return _BodyTask(outgoing, self._outgoing, (number, False))
+        task = outgoing.start()
+        try:
+            yield
+        finally:
+            outgoing.stop()
+            task.kill()
+            self._outgoing.pop((number, False), None)
 
     def _close(self) -> None:
         if self.closed:
@@ -446,49 +434,3 @@
     def close(self) -> None:
         """Ends the connection; calls in flight fail."""
         self._close()
-
-
-class _NoBody:
-    def __enter__(self) -> None:
-        return
-
-    def __exit__(self, *_: object) -> None:
-        return
-
-
-_NO_BODY = _NoBody()
-
-
-class _BodyTask:
-    """Sends a call's body while its answer is awaited."""
-
-    def __init__(
-        self,
-        outgoing: peer_body.Outgoing,
-        registered: dict[tuple[int, bool], peer_body.Outgoing],
-        key: tuple[int, bool],
-    ) -> None:
-        self._outgoing = outgoing
-        self._registered = registered
-        self._key = key
-
-    def __enter__(self) -> None:
-        self._task = self._outgoing.start()
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        self._outgoing.stop()
-        self._task.kill()
-        self._registered.pop(self._key, None)
-
-
-def _late(call: _Call, timeout_ms: int) -> errors.PeerError:
-    kind = errors.PeerLostError if call.sent else errors.PeerUnsentError
-    return kind(
-        f"no answer within {timeout_ms} ms",
-        remedy="check the peer and the network to it",
-    )
