Refuse a streamed request for which there is no room as not run

Cause: the 65th body on a connection was cut after its request had been handed on, so that its outcome was unknown. The new test fails without the change (ForwardUnknown) and passes with it.

--- a/primrosecross/adapters/peer_connection.py
+++ b/primrosecross/adapters/peer_connection.py
@@ -193,12 +193,11 @@
         self._idle_periods = 0
         if frame.is_answer:
             self._take_answer(frame)
-        elif len(self._answering) >= MAX_ANSWERING:
+        elif len(self._answering) >= MAX_ANSWERING or not self._bind(frame):
             self._counts["calls_refused"] += 1
             refusal = messages.refusal_of(message)
             self._post(frame.call, refusal, is_answer=True)
         else:
-            self._bind(frame)
             task = gevent.spawn(self._answer, frame)
             self._answering[frame.call] = task
 
@@ -213,22 +212,27 @@
         self._bind(frame)
         call.answer.set(frame.message)
 
-    def _bind(self, frame: peer_codec.Frame) -> None:
-        """Connects a message's streamed body to the frames that carry it."""
+    def _bind(self, frame: peer_codec.Frame) -> bool:
+        """Connects a message's streamed body to the frames that carry it.
+
+        Returns:
+            Whether there was room for it; if not, the body is cut.
+        """
         stream = messages.body_of(frame.message)
         if not isinstance(stream, peer_body.Incoming):
-            return
+            return True
         key = (frame.call, frame.is_answer)
         if len(self._incoming) >= MAX_STREAMS:
             self._counts["streams_refused"] += 1
             stream.cut(f"more than {MAX_STREAMS} bodies at once")
             self._post(frame.call, messages.StreamStop(), is_answer=key[1])
-            return
+            return False
         stream.bind(
             functools.partial(self._post, frame.call, is_answer=frame.is_answer)
         )
         self._incoming[key] = stream
         stream.call_when_done(lambda: self._incoming.pop(key, None))
+        return True
 
     def _receive_ping(self, _: messages.Ping, frame: peer_codec.Frame) -> None:
         self._post(frame.call, messages.Done(), is_answer=True)
--- a/tests/test_transport_bodies.py
+++ b/tests/test_transport_bodies.py
@@ -12,6 +12,7 @@
 from primrosecross.adapters import caller_body
 from primrosecross.adapters import caller_connection
 from primrosecross.adapters import peer_body
+from primrosecross.adapters import peer_connection
 from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import messages
@@ -95,6 +96,16 @@
             source.read_bytes, peer_body.WINDOW_BYTES + 2 * 100_000
         )
 
+    def test_body_without_room_is_refused_as_not_run(self):
+        self.call("/")
+        accepted = next(iter(self.right._accepted))
+        accepted._incoming.update(
+            (("held", n), peer_body.Incoming(1))
+            for n in range(peer_connection.MAX_STREAMS)
+        )
+        answer = self.call("/", MadeStream(LONG_BYTES))
+        self.assertIsInstance(answer, messages.ForwardNotRun)
+
     def test_reader_that_leaves_stops_the_sender(self):
         self.answer = MadeStream(64 << 20)
         answer = self.call("/long")
