Let daemons know each other by mutual TLS

peer.authority_file, certificate_file and key_file: TLS 1.3 with certificates of the cluster's own authority that name the VM; read again when they change, broken ones leave the earlier in use; required beyond loopback.

Shown failing with the mechanism off (trial patches): names not compared -> the stranger test; no certificate asked -> the stranger test and the reload test; no reload -> the reload and broken-file tests. With it: 4 tests pass. The cost of TLS on requests is not measured.

--- a/primrosecross/adapters/peer_connection.py
+++ b/primrosecross/adapters/peer_connection.py
@@ -58,6 +58,7 @@
         counts: Counts what went wrong, by name.
         traffic: Counts bytes over all connections.
         accepted: Whether the other side opened it.
+        names: VM names the other side proved; None without TLS.
     """
 
     def __init__(
@@ -70,7 +71,9 @@
         counts: collections.Counter[str],
         traffic: Traffic,
         accepted: bool = False,
+        names: frozenset[str] | None = None,
     ) -> None:
+        self._names = names
         self._accepted = accepted
         self._traffic = traffic
         self._sock = sock
@@ -183,6 +186,11 @@
                 f"protocol {message.protocol}",
                 remedy=f"use protocol {PROTOCOL} and cluster {mine.cluster}",
             )
+        if self._names is not None and message.vm not in self._names:
+            raise errors.PeerProtocolError(
+                f"the certificate shown does not name {message.vm}",
+                remedy="give each daemon a certificate with its VM's name",
+            )
         self.other = message
         self._decoder.open()
         self.greeted.set()
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peer_streams.py
@@ -13,6 +13,7 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import peer_connection
+from primrosecross.adapters import peer_tls
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import messages
@@ -71,6 +72,7 @@
         listen: Address to listen on, as (ip, port).
         stamps: Stamps sent and received messages.
         record: Called with events for the time line.
+        tls: Wraps connections; None leaves them open to anyone.
     """
 
     def __init__(
@@ -80,7 +82,9 @@
         listen: tuple[str, int],
         stamps: stamp.StampClock,
         record: Callable[[events.Event], None] = lambda event: None,
+        tls: peer_tls.PeerTls | None = None,
     ) -> None:
+        self._tls = tls
         self._stamps = stamps
         self.traffic = peer_connection.Traffic()
         self._hello = hello
@@ -190,6 +194,10 @@
         *,
         accepted: bool = False,
     ) -> peer_connection.Connection:
+        names = None
+        if self._tls is not None:
+            sock = self._tls.wrap(sock, accepted=accepted)
+            names = peer_tls.names_of(sock)
         return peer_connection.Connection(
             sock=sock,
             hello=dataclasses.replace(self._hello, lane=lane),
@@ -198,6 +206,7 @@
             counts=self.counts,
             traffic=self.traffic,
             accepted=accepted,
+            names=names,
         )
 
     def _run(self, connection: peer_connection.Connection) -> None:
@@ -214,7 +223,12 @@
         return self.handler(message)
 
     def _accept(self, sock: gevent_socket.socket, _: object) -> None:
-        connection = self._make(sock, messages.Lane.CONTROL, accepted=True)
+        try:
+            connection = self._make(sock, messages.Lane.CONTROL, accepted=True)
+        except OSError as error:
+            _logger.info("a peer was refused: %s", error)
+            sock.close()
+            return
         self._accepted.add(connection)
         try:
             self._run(connection)
--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -27,6 +27,7 @@
 from primrosecross.adapters import operator_access  # noqa: E402
 from primrosecross.adapters import operator_rpc  # noqa: E402
 from primrosecross.adapters import peer_streams  # noqa: E402
+from primrosecross.adapters import peer_tls  # noqa: E402
 from primrosecross.adapters import target_http  # noqa: E402
 from primrosecross.domain import errors  # noqa: E402
 from primrosecross.domain import events  # noqa: E402
@@ -81,6 +82,7 @@
             listen=_pair(settings.peer),
             stamps=stamps,
             record=self.timeline.record,
+            tls=_peer_tls(settings.peer),
         )
         ports = node_module.Ports(
             clock=clock,
@@ -202,6 +204,18 @@
         self.peers.stop()
 
 
+def _peer_tls(peer: settings_model.PeerListen) -> peer_tls.PeerTls | None:
+    if peer.authority_file is None:
+        return None
+    return peer_tls.PeerTls(
+        peer_tls.PeerFiles(
+            authority=peer.authority_file,
+            certificate=peer.certificate_file,
+            key=peer.key_file,
+        )
+    )
+
+
 def _access_files(
     operator: settings_model.OperatorListen,
 ) -> operator_access.AccessFiles:
@@ -237,6 +251,7 @@
     try:
         loaded = settings_model.load(settings)
         operator_access.Access(_access_files(loaded.operator)).check()
+        _peer_tls(loaded.peer)
     except errors.SettingsError as error:
         _fail(EXIT_INVALID, str(error))
     if check:
--- a/primrosecross/models/settings.py
+++ b/primrosecross/models/settings.py
@@ -62,6 +62,34 @@
         return self
 
 
+class PeerListen(Listen):
+    """Where other daemons connect, and how daemons know each other.
+
+    Attributes:
+        authority_file: Certificate of the authority that signs daemons', PEM.
+        certificate_file: This daemon's certificate; it names the VM.
+        key_file: The certificate's private key.
+    """
+
+    authority_file: pathlib.Path | None = None
+    certificate_file: pathlib.Path | None = None
+    key_file: pathlib.Path | None = None
+
+    @pydantic.model_validator(mode="after")
+    def _is_safe(self) -> "PeerListen":
+        files = (self.authority_file, self.certificate_file, self.key_file)
+        if None in files and any(files):
+            raise ValueError(
+                "authority_file, certificate_file and key_file go together"
+            )
+        if not self.host.is_loopback and None in files:
+            raise ValueError(
+                f"{self.host} is no loopback address, so authority_file, "
+                "certificate_file and key_file are required"
+            )
+        return self
+
+
 class Settings(pydantic.BaseModel):
     """Settings of one daemon.
 
@@ -87,7 +115,7 @@
     vm: str = pydantic.Field(pattern=_NAME)
     place: str = pydantic.Field(pattern=_NAME)
     region: str = pydantic.Field(pattern=_NAME)
-    peer: Listen
+    peer: PeerListen
     caller: Listen
     operator: OperatorListen
     announce: Listen
