Test bodies of 64 MB from caller over two daemons to a target and back

Both directions whole by length and checksum, with less than 24 MB more resident in the one process that holds caller, both daemons and target; an answer cut by the target fails the caller, with a length and with chunks.

--- /dev/null
+++ b/tests/test_transport_path.py
@@ -0,0 +1,154 @@
+"""Bodies of 64 MB from a caller over two daemons to a target and back."""
+
+import http.client
+import json
+import pathlib
+import unittest
+import zlib
+
+from gevent import pywsgi
+
+from primrosecross.adapters import boot_clock
+from primrosecross.adapters import caller_http
+from primrosecross.adapters import target_http
+from primrosecross.domain import events
+from primrosecross.domain import messages
+from primrosecross.domain import outcome
+from primrosecross.domain import plan
+from primrosecross.domain import replies
+from primrosecross.domain import request
+from primrosecross.domain import stamp
+from primrosecross.domain import state as state_module
+from primrosecross.models import plan as plan_model
+from primrosecross.ports import target as target_port
+from standins import target
+from tests import test_transport_peers
+
+BODY_BYTES = 64 << 20
+PIECE = bytes(range(256)) * 256
+MAX_GROWTH_BYTES = 24 << 20
+PLAN = pathlib.Path(__file__).parents[1] / "examples" / "brno" / "plan.json"
+SERVICE = "spisovna"
+
+
+def resident_bytes() -> int:
+    """Returns the memory this process holds now."""
+    for line in pathlib.Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
+class ForwardingRouter:
+    """Sends every request to the peer named right."""
+
+    def __init__(self, peer) -> None:
+        self._peer = peer
+
+    def route(self, req: request.Request) -> outcome.Outcome:
+        message = test_transport_peers.make_forward(
+            req.path, req.body, timeout_ms=60_000
+        )
+        answer = self._peer.call("right", message, timeout_ms=60_000)
+        return replies.outcome_of(answer, "id")
+
+
+class PathTest(unittest.TestCase):
+    """One caller's daemon, one owner's daemon and its target."""
+
+    def setUp(self) -> None:
+        clock = boot_clock.BootClock()
+        first = test_transport_peers.peer_port(29500)
+        served = target.Target(options=target.Options("vm", SERVICE, 8))
+        server = pywsgi.WSGIServer(
+            ("127.0.0.1", first), served.serve, log=None, error_log=None
+        )
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        self.announcement = target_port.Announcement(
+            SERVICE, f"127.0.0.1:{first}", 8, False
+        )
+        self.targets = target_http.HttpTargets(clock=clock)
+        self.clock = clock
+        port = test_transport_peers.peer_port(first + 1)
+        right = test_transport_peers.make_peer("right", port, [])
+        right.handler = self.execute
+        left_port = test_transport_peers.peer_port(port + 1)
+        left = test_transport_peers.make_peer("left", left_port, [])
+        left.learn_address("right", f"127.0.0.1:{port}")
+        timeline = events.Timeline(
+            vm="vm", clock=clock, stamps=stamp.StampClock(clock=clock)
+        )
+        state = state_module.State(vm="vm", timeline=timeline)
+        state.offer_plan(self.plan())
+        self.port = test_transport_peers.peer_port(left_port + 1)
+        caller = caller_http.CallerServer(
+            listen=("127.0.0.1", self.port),
+            router=ForwardingRouter(left),
+            state=state,
+            clock=clock,
+        )
+        caller.start()
+        for stopped in (left, right, caller):
+            self.addCleanup(stopped.stop)
+
+    def plan(self) -> plan.Plan:
+        return plan_model.parse(PLAN.read_bytes(), version=1, author="test")
+
+    def execute(self, forward: messages.Forward) -> messages.Message:
+        req = request.Request(
+            request_id="id",
+            service=SERVICE,
+            key="",
+            method="POST",
+            path=forward.path,
+            headers=(),
+            body=forward.body,
+            idempotent=False,
+            deadline_ns=self.clock.now_ns() + 60 * 10**9,
+        )
+        fence = target_port.Fence(0, 0)
+        result = self.targets.run(self.announcement, req, fence)
+        return replies.reply_of(result, "id")
+
+    def send(self, path: str, content) -> http.client.HTTPResponse:
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.port, timeout=60
+        )
+        self.addCleanup(connection.close)
+        headers = {"Content-Length": str(BODY_BYTES if content else 0)}
+        connection.request("POST", path, content or None, headers)
+        return connection.getresponse()
+
+    def pieces(self):
+        for _ in range(BODY_BYTES // len(PIECE)):
+            self.checksum = zlib.crc32(PIECE, self.checksum)
+            self.most_bytes = max(self.most_bytes, resident_bytes())
+            yield PIECE
+
+    def test_body_of_64_mb_each_way_is_whole_and_never_held(self):
+        before = self.most_bytes = resident_bytes()
+        self.checksum = 0
+        answer = self.send(f"/{SERVICE}/store", self.pieces())
+        seen = json.loads(answer.read())
+        self.assertEqual(seen["body_bytes"], BODY_BYTES)
+        self.assertEqual(seen["body_checksum"], self.checksum)
+        answer = self.send(f"/{SERVICE}/bytes?n={BODY_BYTES}", None)
+        length = 0
+        while piece := answer.read(len(PIECE)):
+            length += len(piece)
+            self.most_bytes = max(self.most_bytes, resident_bytes())
+        self.assertEqual(length, BODY_BYTES)
+        self.assertLess(self.most_bytes - before, MAX_GROWTH_BYTES)
+
+    def test_answer_cut_by_the_target_fails_the_caller(self):
+        answer = self.send(f"/{SERVICE}/bytes?n=1000000&cut=1", None)
+        with self.assertRaises(http.client.IncompleteRead):
+            answer.read()
+        answer = self.send(f"/{SERVICE}/bytes?n=1000000&cut=1&chunked=1", None)
+        with self.assertRaises(http.client.IncompleteRead):
+            answer.read()
+
+
+if __name__ == "__main__":
+    unittest.main()
