--- a/tests/test_transport_path.py
+++ b/tests/test_transport_path.py
@@ -6,6 +6,7 @@
 import unittest
 import zlib
 
+import gevent
 from gevent import pywsgi
 
 from primrosecross.adapters import boot_clock
@@ -65,8 +66,13 @@
         )
         server.start()
         self.addCleanup(server.stop, timeout=0)
+        self.served = served
         self.announcement = target_port.Announcement(
-            SERVICE, f"127.0.0.1:{first}", 8, False
+            SERVICE,
+            f"127.0.0.1:{first}",
+            8,
+            False,
+            cancel_path="/standin/cancel",
         )
         self.targets = target_http.HttpTargets(clock=clock)
         self.clock = clock
@@ -141,6 +147,15 @@
         self.assertEqual(length, BODY_BYTES)
         self.assertLess(self.most_bytes - before, MAX_GROWTH_BYTES)
 
+    def test_caller_that_leaves_ends_the_work_at_the_target(self):
+        connection = http.client.HTTPConnection("127.0.0.1", self.port)
+        connection.request("POST", f"/{SERVICE}/work?ms=8000")
+        gevent.sleep(0.3)
+        self.assertEqual(len(self.served._running), 1)
+        connection.close()
+        gevent.sleep(0.5)
+        self.assertEqual(len(self.served._running), 0)
+
     def test_answer_cut_by_the_target_fails_the_caller(self):
         answer = self.send(f"/{SERVICE}/bytes?n=1000000&cut=1", None)
         with self.assertRaises(http.client.IncompleteRead):
