--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -22,7 +22,7 @@
     """First message on each connection, in both directions.
 
     Attributes:
-        lane: What the connection carries; the answering side repeats it.
+        lane: What the connection carries; counts as said by who opened it.
     """
 
     protocol: int
