--- a/primrosecross/adapters/peer_codec.py
+++ b/primrosecross/adapters/peer_codec.py
@@ -22,6 +22,7 @@
 from primrosecross.models import settings as settings_model
 
 MAX_FRAME_BYTES = 4 << 20
+READ_BYTES = 4096  # the library's default of 1 MB is held by each connection
 MAX_ITEMS = 1 << 16
 MAX_HELLO_BYTES = 4096
 MAX_HELLO_ITEMS = 16
@@ -187,6 +188,7 @@
 
 def _unpacker(max_bytes: int, max_items: int) -> msgpack.Unpacker:
     return msgpack.Unpacker(
+        read_size=READ_BYTES,
         max_buffer_size=max_bytes,
         max_array_len=max_items,
         max_map_len=max_items,
--- a/primrosecross/adapters/peer_connection.py
+++ b/primrosecross/adapters/peer_connection.py
@@ -1,7 +1,7 @@
 """One connection to another daemon: msgpack frames over TCP.
 
-One task reads; a second one gathers what is ready into one send, in which
-streamed bodies take turns piece by piece.
+One task reads. While there is something to send, a second one gathers what is
+ready into one send, in which streamed bodies take turns piece by piece.
 """
 
 import collections
@@ -28,7 +28,7 @@
 PROTOCOL = 2
 PING_AFTER_S = 0.35
 MISSED_PINGS = 3
-IDLE_PERIODS = 85
+UNUSED_LOOKS = 3
 RECEIVE_BYTES = 256 * 1024
 SEND_BYTES = 128 * 1024
 MAX_ANSWERING = 2048
@@ -86,13 +86,13 @@
         self._turns: collections.deque[tuple[int, bool, peer_body.Outgoing]] = (
             collections.deque()
         )
-        self._ready = gevent_event.Event()
+        self._writer: gevent.Greenlet | None = None
         self._calls: dict[int, peer_call.Call] = {}
         self._answering: dict[int, gevent.Greenlet] = {}
         self._incoming: dict[tuple[int, bool], peer_body.Incoming] = {}
         self._outgoing: dict[tuple[int, bool], peer_body.Outgoing] = {}
         self._last_call = 0
-        self._idle_periods = 0
+        self._unused_looks = 0
         self._missed_pings = 0
         self._heard = False
         self.closed = False
@@ -100,20 +100,9 @@
         self.calls_lost = 0
         self.greeted = gevent_event.Event()
         self.other: messages.Hello | None = None
-        self._receive = self._table()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
 
-    def _table(self) -> functools.singledispatch:
-        receive = functools.singledispatch(self._receive_message)
-        receive.register(messages.Ping, self._receive_ping)
-        receive.register(messages.Cancel, self._receive_cancel)
-        receive.register(messages.StreamPiece, self._receive_piece)
-        receive.register(messages.StreamEnd, self._receive_end)
-        receive.register(messages.StreamCredit, self._receive_credit)
-        receive.register(messages.StreamStop, self._receive_stop)
-        return receive
-
     @property
     def lane(self) -> str:
         """What the connection carries, as the side that opened it said."""
@@ -127,7 +116,6 @@
 
     def run(self) -> None:
         """Greets and reads until the connection ends."""
-        writer = gevent.spawn(self._write)
         try:
             self._post(0, self._hello, is_answer=False)
             self._read()
@@ -135,7 +123,8 @@
             _logger.info("peer connection ended: %s", error)
         finally:
             self._close()
-            writer.kill(block=False)
+            if self._writer is not None:
+                self._writer.kill(block=False)
 
     def _read(self) -> None:
         while data := self._sock.recv(RECEIVE_BYTES):
@@ -144,20 +133,24 @@
             for frame in self._decoder.feed(data):
                 self._take(frame)
 
+    @property
+    def in_use(self) -> bool:
+        """Tells whether an answer, a body or a greeting is awaited."""
+        return bool(
+            self._calls
+            or self._answering
+            or self._incoming
+            or self._outgoing
+            or self.other is None
+        )
+
     def watch(self) -> None:
-        """Pings a silent connection that is in use; gives it up in the end.
+        """Pings a silent connection; gives it up in the end.
 
-        Called every PING_AFTER_S. An unused connection costs no message, and
-        is closed after IDLE_PERIODS.
+        Called every PING_AFTER_S while the connection is in use.
         """
+        self._unused_looks = 0
         heard, self._heard = self._heard, False
-        if not self._in_use():
-            self._missed_pings = 0
-            self._idle_periods += 1
-            if self._idle_periods > IDLE_PERIODS:
-                self._close()
-            return
-        self._idle_periods = 0
         if heard:
             self._missed_pings = 0
             return
@@ -168,14 +161,12 @@
         elif self.other is not None:
             self._post(0, messages.Ping(), is_answer=False)
 
-    def _in_use(self) -> bool:
-        return bool(
-            self._calls
-            or self._answering
-            or self._incoming
-            or self._outgoing
-            or self.other is None
-        )
+    def watch_unused(self) -> None:
+        """Closes a connection after UNUSED_LOOKS of this without a call."""
+        self._missed_pings = 0
+        self._unused_looks += 1
+        if self._unused_looks > UNUSED_LOOKS:
+            self._close()
 
     def _take(self, frame: peer_codec.Frame) -> None:
         self._stamps.observe(frame.stamp)
@@ -206,10 +197,11 @@
         self._decoder.open()
         self.greeted.set()
 
-    def _receive_message(
+    @functools.singledispatchmethod
+    def _receive(
         self, message: messages.Message, frame: peer_codec.Frame
     ) -> None:
-        self._idle_periods = 0
+        self._unused_looks = 0
         if frame.is_answer:
             self._take_answer(frame)
         elif len(self._answering) >= MAX_ANSWERING or not self._bind(frame):
@@ -253,9 +245,11 @@
         stream.call_when_done(lambda: self._incoming.pop(key, None))
         return True
 
+    @_receive.register
     def _receive_ping(self, _: messages.Ping, frame: peer_codec.Frame) -> None:
         self._post(frame.call, messages.Done(), is_answer=True)
 
+    @_receive.register
     def _receive_cancel(
         self, _: messages.Cancel, frame: peer_codec.Frame
     ) -> None:
@@ -264,6 +258,7 @@
             self._counts["calls_cancelled"] += 1
             task.kill(block=False)
 
+    @_receive.register
     def _receive_piece(
         self, message: messages.StreamPiece, frame: peer_codec.Frame
     ) -> None:
@@ -271,6 +266,7 @@
         if stream is not None:
             stream.feed(message.data)
 
+    @_receive.register
     def _receive_end(
         self, message: messages.StreamEnd, frame: peer_codec.Frame
     ) -> None:
@@ -278,6 +274,7 @@
         if stream is not None:
             stream.end(message)
 
+    @_receive.register
     def _receive_credit(
         self, message: messages.StreamCredit, frame: peer_codec.Frame
     ) -> None:
@@ -285,6 +282,7 @@
         if outgoing is not None:
             outgoing.grant(message.bytes)
 
+    @_receive.register
     def _receive_stop(
         self, _: messages.StreamStop, frame: peer_codec.Frame
     ) -> None:
@@ -320,7 +318,7 @@
     ) -> peer_body.Outgoing:
         def offer(offering: peer_body.Outgoing) -> None:
             self._turns.append((call, is_answer, offering))
-            self._ready.set()
+            self._wake_writer()
 
         outgoing = peer_body.Outgoing(source=source, offer=offer)
         self._outgoing[call, is_answer] = outgoing
@@ -339,7 +337,7 @@
         if not self.closed:
             data = self._encode(call, is_answer, message)
             self._pending.append((data, waiting))
-            self._ready.set()
+            self._wake_writer()
 
     def _encode(
         self, call: int, is_answer: bool, message: messages.Message
@@ -348,15 +346,20 @@
             peer_codec.Frame(call, is_answer, self._stamps.now(), message)
         )
 
+    def _wake_writer(self) -> None:
+        """Starts a writer unless one runs; idle connections have none."""
+        if self._writer is None:
+            self._writer = gevent.spawn(self._write)
+
     def _write(self) -> None:
+        """Sends what is ready, gathered, until nothing is left."""
         try:
-            while True:
-                self._ready.wait()
-                self._ready.clear()
-                while batch := self._gather():
-                    self._send(batch)
+            while batch := self._gather():
+                self._send(batch)
         except OSError:
             self._close()
+        finally:
+            self._writer = None
 
     def _gather(self) -> list[bytes]:
         """Returns all short frames and a piece of each stream in turn."""
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peer_streams.py
@@ -24,6 +24,7 @@
 CONNECT_TIMEOUT_S = 1.0
 HELLO_TIMEOUT_S = 1.0
 MIN_BACKOFF_S = 0.05
+UNUSED_EVERY = 28  # looks; about 10 s
 MAX_BACKOFF_S = 1.0
 MAX_ACCEPTED = 4096
 
@@ -105,11 +106,17 @@
         self._watching = gevent.spawn(self._watch)
 
     def _watch(self) -> None:
-        """Has every connection look for silence."""
+        """Has connections in use look for silence, and closes unused ones."""
+        looks = 0
         while True:
             gevent.sleep(peer_connection.PING_AFTER_S)
+            looks += 1
+            look_at_unused = looks % UNUSED_EVERY == 0
             for connection in self._open_connections():
-                connection.watch()
+                if connection.in_use:
+                    connection.watch()
+                elif look_at_unused:
+                    connection.watch_unused()
 
     def _open_connections(self) -> list[peer_connection.Connection]:
         dialled = [link.connection for link in self._links.values()]
