--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -222,6 +222,27 @@
             self.assertLessEqual(cluster.runs(req.request_id), 1)
         self.assertGreater(wrong, 100)
 
+    def test_refusal_of_an_unread_request_names_it(self):
+        forward = messages.Forward(
+            request_id="r",
+            service="s",
+            key="k",
+            method="GET",
+            path="/",
+            headers=(),
+            body=b"",
+            idempotent=True,
+            identified=False,
+            attempt=0,
+            generation=0,
+            timeout_ms=1,
+        )
+        refusal = messages.refusal_of(forward)
+        self.assertEqual(
+            replies.outcome_of(refusal, "r").reason,
+            outcome.Reason.OVERLOADED,
+        )
+
 
 class AnswersTest(unittest.TestCase):
     """Bounds of the memory."""
