Hold slot and shard until a streamed answer is over

Cause: bodies may be streams now; the slot and the shard's in-flight count ended when the head of the answer came, so a hand-over could overtake a running request, and a remembered stream could be read only once. Both are held to the stream's end; a resend of a streamed answer is told that it ran and that the answer is not kept. The test fails without either part.

--- a/primrosecross/domain/answers.py
+++ b/primrosecross/domain/answers.py
@@ -16,6 +16,11 @@
 FULL_RETRY_MS = 1000
 
 
+_DROPPED = outcome.Unknown(
+    outcome.Reason.ANSWER_DROPPED, "the request ran; its answer is not kept"
+)
+
+
 @dataclasses.dataclass(slots=True)
 class _Entry:
     fingerprint: str
@@ -155,6 +160,7 @@
         window_ms: int,
     ) -> None:
         self._running.pop(identity, None)
+        result = _repeatable(result)
         entry.result = result
         if entry.done is not None:
             entry.done.set()
@@ -195,10 +201,7 @@
         if entry is None or not isinstance(entry.result, outcome.Answered):
             return
         self._body_bytes -= len(entry.result.body)
-        entry.result = outcome.Unknown(
-            outcome.Reason.ANSWER_DROPPED,
-            "the request ran; its answer is no longer kept",
-        )
+        entry.result = _DROPPED
 
     def _expire(self) -> None:
         now_ns = self._clock.now_ns()
@@ -209,3 +212,11 @@
                     break
                 del settled[identity]
                 self._drop_body(identity)
+
+
+def _repeatable(result: outcome.Outcome) -> outcome.Outcome:
+    """Returns what can be told again; a streamed body is read only once."""
+    streamed = isinstance(result, outcome.Answered) and not isinstance(
+        result.body, bytes
+    )
+    return _DROPPED if streamed else result
--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/executor.py
@@ -105,8 +105,10 @@
             result = self._check_crash(announcement, req, result)
             return result
         finally:
-            gate.leave(ticket, result)
-            self._record_duration(service, req, ticket)
+            body.call_when_done(
+                outcome.body_of(result),
+                lambda: self._leave(service, req, gate, ticket, result),
+            )
 
     def _check_crash(
         self,
@@ -155,12 +157,16 @@
                 functools.partial(self._hand_over.end, req.service, key_hash),
             )
 
-    def _record_duration(
+    def _leave(
         self,
         service: plan.Service,
         req: request.Request,
+        gate: admission_module.Gate,
         ticket: waiting.Ticket,
+        result: outcome.Outcome,
     ) -> None:
+        """Gives the slot back, and takes in how long the request ran."""
+        gate.leave(ticket, result)
         duration_ns = self._clock.now_ns() - ticket.started_ns
         self._long_work.record(
             service, req, duration_ns / lease_module.NS_PER_MS
--- a/primrosecross/domain/quarantine.py
+++ b/primrosecross/domain/quarantine.py
@@ -41,8 +41,9 @@
 
     Attributes:
         fingerprint: What it asks for.
-        crashes: Targets that vanished while running it.
+        vms: VMs whose targets vanished while running it, one a crash.
         refused: Whether it is refused now.
+        age_ms: Time since the last crash.
         expires_ms: Time until the suspicion ends by itself.
     """
 
@@ -51,8 +52,9 @@
     key: str
     method: str
     path: str
-    crashes: int
+    vms: tuple[str, ...]
     refused: bool
+    age_ms: int
     expires_ms: int
 
 
@@ -104,7 +106,7 @@
             return None
         return outcome.NotRun(
             outcome.Reason.QUARANTINED,
-            f"targets crashed {suspect.crashes} times while running this "
+            f"targets crashed {len(suspect.vms)} times while running this "
             f"request; an operator can release {suspect.fingerprint}",
             suspect.expires_ms,
         )
@@ -201,8 +203,9 @@
             key=note.key,
             method=note.method,
             path=note.path,
-            crashes=len(noted),
+            vms=tuple(crash.partition("/")[0] for crash in noted),
             refused=len(noted) >= CRASHES,
+            age_ms=age_ms,
             expires_ms=EXPIRY_MS - age_ms,
         )
 
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -8,6 +8,7 @@
 from primrosecross.domain import answers
 from primrosecross.domain import assignment
 from primrosecross.domain import attempts
+from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import executor
@@ -44,6 +45,17 @@
     return plan.Service(name=name, **(declared | fields))
 
 
+class FakeStream(body.Stream):
+    """A streamed body of ten bytes that never come."""
+
+    def __init__(self) -> None:
+        super().__init__(10)
+
+    def read(self) -> bytes:
+        """Returns nothing."""
+        return b""
+
+
 class FakeTargets:
     """Targets that record what ran; an action decides each outcome."""
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -87,7 +87,7 @@
         vm = self.cluster.vms["a"]
         for _ in range(3):
             vm.quarantine.record_crash(beside, "t")
-        self.assertEqual(vm.quarantine.suspects()[0].crashes, 1)
+        self.assertEqual(vm.quarantine.suspects()[0].vms, ("a",))
 
     def test_a_daemon_that_missed_the_notes_gets_them(self):
         self.cluster.peers.lost.add("d")
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -90,6 +90,16 @@
         result = self.b.router.route(self.cluster.request(attempt=2))
         self.assertIsInstance(result, outcome.Answered)
 
+    def test_streamed_answer_holds_its_slot_and_is_not_told_twice(self):
+        stream = request_fakes.FakeStream()
+        self.a.targets.action = lambda req: outcome.Answered(200, (), stream)
+        self.a.executor.execute(self.cluster.request())
+        self.assertEqual(self.a.executor.in_flight(), 1)
+        again = self.a.executor.execute(self.cluster.request(attempt=2))
+        self.assertEqual(again.reason, outcome.Reason.ANSWER_DROPPED)
+        stream.close()
+        self.assertEqual(self.a.executor.in_flight(), 0)
+
     def test_unknown_stays_unknown_for_resends(self):
         lost = outcome.Unknown(outcome.Reason.ANSWER_LOST, "")
         self.a.targets.action = lambda req: lost
