--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,7 +13,7 @@
 
 import bench
 
-SUPPORT = frozenset({"__main__", "result"})
+SUPPORT = frozenset({"__main__", "load", "result"})
 
 
 def main(names: list[str]) -> int:
