--- a/primrosecross/domain/quarantine.py
+++ b/primrosecross/domain/quarantine.py
@@ -31,7 +31,7 @@
 GATHER_MS = 5
 SPREAD_TIMEOUT_MS = 500
 COMPARE_MS = 10_000
-SAME_CRASH_MS = 1000
+SAME_CRASH_MS = 200
 MAX_NOTES = 10_000
 
 
@@ -57,6 +57,11 @@
     age_ms: int
     expires_ms: int
 
+    @property
+    def crashes(self) -> int:
+        """Number of crashes it is blamed for."""
+        return len(self.vms)
+
 
 @dataclasses.dataclass(slots=True)
 class _Noted:
@@ -106,7 +111,7 @@
             return None
         return outcome.NotRun(
             outcome.Reason.QUARANTINED,
-            f"targets crashed {len(suspect.vms)} times while running this "
+            f"targets crashed {suspect.crashes} times while running this "
             f"request; an operator can release {suspect.fingerprint}",
             suspect.expires_ms,
         )
