--- a/primrosecross/domain/attempts.py
+++ b/primrosecross/domain/attempts.py
@@ -108,7 +108,9 @@
         earlier = self._holders.earlier(service, identity)
         for holder, kept in earlier.items():
             if kept is holders_module.Kept.LOST:
-                return _unknown(f"its earlier owner {holder.vm} was lost")
+                return _unknown(
+                    f"an earlier owner was lost: {holder.vm or 'any'}"
+                )
         vms = {holder.vm for holder in earlier} - set(asked)
         asked += tuple(sorted(vms))
         for vm in sorted(vms):
