--- a/primrosecross/domain/quarantine.py
+++ b/primrosecross/domain/quarantine.py
@@ -31,7 +31,7 @@
 GATHER_MS = 5
 SPREAD_TIMEOUT_MS = 500
 COMPARE_MS = 10_000
-SAME_CRASH_MS = 1000
+SAME_CRASH_MS = 200
 MAX_NOTES = 10_000
 
 
@@ -41,8 +41,9 @@
 
     Attributes:
         fingerprint: What it asks for.
-        crashes: Targets that vanished while running it.
+        vms: VMs whose targets vanished while running it, one a crash.
         refused: Whether it is refused now.
+        age_ms: Time since the last crash.
         expires_ms: Time until the suspicion ends by itself.
     """
 
@@ -51,10 +52,16 @@
     key: str
     method: str
     path: str
-    crashes: int
+    vms: tuple[str, ...]
     refused: bool
+    age_ms: int
     expires_ms: int
 
+    @property
+    def crashes(self) -> int:
+        """Number of crashes it is blamed for."""
+        return len(self.vms)
+
 
 @dataclasses.dataclass(slots=True)
 class _Noted:
@@ -201,8 +208,9 @@
             key=note.key,
             method=note.method,
             path=note.path,
-            crashes=len(noted),
+            vms=tuple(crash.partition("/")[0] for crash in noted),
             refused=len(noted) >= CRASHES,
+            age_ms=age_ms,
             expires_ms=EXPIRY_MS - age_ms,
         )
 
