--- a/primrosecross/commands/owners.py
+++ b/primrosecross/commands/owners.py
@@ -39,12 +39,18 @@
 
 @client_module.connected
 def move(
-    client: client_module.Client, service: _Service, key: _Key, vm: _Vm
+    client: client_module.Client,
+    service: _Service,
+    key: _Key,
+    vm: Annotated[
+        str, typer.Argument(help="Where it goes; none to balance it again.")
+    ] = "",
 ) -> None:
-    """Sets a key apart from its partition and hands it over to a VM."""
+    """Sets a key apart from its partition and keeps it at a VM."""
     request = operator_pb2.MoveRequest(service=service, key=key, vm=vm)
     client.call("Move", request)
-    typer.echo(f"the key is being handed over to {vm}")
+    done = f"is being handed over to {vm}" if vm else "is balanced again"
+    typer.echo(f"the key {done}")
 
 
 @client_module.connected
--- a/primrosecross/domain/operations.py
+++ b/primrosecross/domain/operations.py
@@ -218,6 +218,24 @@
         self._check_member(vm)
         self._command(messages.Undrain(vm))
 
+    def move(self, service: str, key: str, vm: str) -> None:
+        """Keeps a key at a VM, or has it balanced again if vm is empty.
+
+        Raises:
+            errors.NotFoundError: No such keyed service, or no such member
+                that offers it.
+        """
+        self.where(service, key)
+        if vm:
+            self._check_member(vm)
+            member = self._state.assignment.members[vm]
+            if not member.offers_service(service):
+                raise errors.NotFoundError(
+                    f"{vm} offers no target of {service!r}",
+                    remedy="see the targets for the VMs that do",
+                )
+        self._command(messages.Move(service, key, vm))
+
     def _command(self, message: messages.Message) -> messages.Message:
         """Tells the coordinator something idempotent.
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -197,6 +197,20 @@
             time.sleep(0.3)
         self.fail(f"no {what}")
 
+    def test_5_moved_key_goes_where_it_was_sent(self):
+        self._check("move", "rezervace", "booking-1", "rezervace-3")
+        self._wait_for(
+            lambda: (
+                self._json("where", "rezervace", "booking-1")[0]["owner"]
+                == "rezervace-3"
+            ),
+            "hand-over",
+        )
+        text = self._check(
+            "move", "rezervace", "booking-1", "spisovna-1", code=2
+        )
+        self.assertIn("see the targets", text)
+
     def test_6_tables_fit_eighty_columns(self):
         for command in ("status", "services", "targets", "describe", "plans"):
             text = self._check(command)
