--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -109,7 +109,18 @@
             state=self.node.state,
             clock=clock,
         )
-        self._metrics = metrics_http.Metrics(
+        self._metrics = self._make_metrics(store)
+        self._metrics_server: metrics_http.MetricsServer | None = None
+        if settings.metrics is not None:
+            self._metrics_server = metrics_http.MetricsServer(
+                listen=_pair(settings.metrics), metrics=self._metrics
+            )
+        self._operator = self._make_operator(settings, store)
+
+    def _make_metrics(
+        self, store: object_store.ObjectStore
+    ) -> metrics_http.Metrics:
+        return metrics_http.Metrics(
             metrics_http.DaemonCollector(
                 meter=self.node.meter,
                 state=self.node.state,
@@ -119,12 +130,11 @@
                 counters=self._counters(store),
             )
         )
-        self._metrics_server: metrics_http.MetricsServer | None = None
-        if settings.metrics is not None:
-            self._metrics_server = metrics_http.MetricsServer(
-                listen=_pair(settings.metrics), metrics=self._metrics
-            )
-        self._operator = operator_rpc.OperatorServer(
+
+    def _make_operator(
+        self, settings: settings_model.Settings, store: object_store.ObjectStore
+    ) -> operator_rpc.OperatorServer:
+        return operator_rpc.OperatorServer(
             address=settings.operator.address,
             access=operator_access.Access(_access_files(settings.operator)),
             servicer=operator_rpc.OperatorServicer(
