Refuse a key that is not the certificate's

Cause: a daemon started or checked with a mismatched pair said nothing until the first handshake failed. The test of the pair fails with the comparison off. A running daemon keeps its last certificate either way: that part of the process test passes with the comparison off too, as gRPC keeps a working configuration itself.

--- a/primrosecross/adapters/operator_access.py
+++ b/primrosecross/adapters/operator_access.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 
 import grpc
+from cryptography import x509
+from cryptography.hazmat.primitives import serialization
 
 from primrosecross.domain import errors
 
@@ -112,14 +114,16 @@
         self._shown: tuple[bytes, bytes] = (b"", b"")
 
     def check(self) -> None:
-        """Checks that all files can be read.
+        """Checks all files.
 
         Raises:
-            errors.SettingsError: One cannot.
+            errors.SettingsError: One cannot be read, or the key is not the
+                certificate's.
         """
-        for file in (*self._tokens.values(), self._certificate, self._key):
-            if file is not None:
-                file.read()
+        for file in self._tokens.values():
+            file.read()
+        if self._certificate is not None and self._key is not None:
+            self._read_pair()
 
     @property
     def open(self) -> bool:
@@ -162,7 +166,15 @@
         )
 
     def _read_pair(self) -> tuple[bytes, bytes]:
-        self._shown = (self._key.read(), self._certificate.read())
+        key, certificate = self._key.read(), self._certificate.read()
+        if not _belong_together(key, certificate):
+            raise errors.SettingsError(
+                "key_file is not the key of certificate_file, or one of them "
+                "is no PEM",
+                remedy="write both; until then a running daemon shows the "
+                "last certificate",
+            )
+        self._shown = (key, certificate)
         return self._shown
 
     def _configuration(
@@ -181,6 +193,15 @@
         return None if pair == shown else self._configuration(pair)
 
 
+def _belong_together(key: bytes, certificate: bytes) -> bool:
+    try:
+        private = serialization.load_pem_private_key(key, password=None)
+        public = x509.load_pem_x509_certificate(certificate).public_key()
+    except (ValueError, TypeError):
+        return False
+    return private.public_key() == public
+
+
 class TokenInterceptor(grpc.ServerInterceptor):
     """Refuses calls whose token does not permit them.
 
--- a/tests/test_operators_access.py
+++ b/tests/test_operators_access.py
@@ -15,6 +15,9 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509 import oid
 
+from primrosecross.adapters import operator_access
+from primrosecross.domain import errors
+
 ROOT = pathlib.Path(__file__).parents[1]
 PORT = 30420
 RUN_S = 30
@@ -120,7 +123,11 @@
         self.assertEqual(self._call(*drain, ca="first", token="read"), 6)
         self.assertEqual(self._call(*drain, ca="first", token="write"), 2)
 
-        self._install_certificate("second")
+        certificate, key = make_certificate("second")
+        (self.directory / "certificate").write_bytes(certificate)
+        self.assertEqual(self._call("status", ca="first", token="read"), 0)
+        (self.directory / "key").write_bytes(key)
+        (self.directory / "second-ca").write_bytes(certificate)
         self._write("other", READ_TOKEN)
         self._write("read", "a-new-token")
         self.assertEqual(self._call("status", ca="first", token="read"), 5)
@@ -130,3 +137,22 @@
         logged = (self.directory / "log").read_text()
         for secret in (READ_TOKEN, WRITE_TOKEN, "a-new-token", "PRIVATE KEY"):
             self.assertNotIn(secret, logged)
+
+
+class PairTest(unittest.TestCase):
+    """A certificate with the key of another."""
+
+    def test_key_of_another_certificate_is_refused(self):
+        with tempfile.TemporaryDirectory() as directory:
+            certificate_file = pathlib.Path(directory) / "certificate"
+            key_file = pathlib.Path(directory) / "key"
+            certificate, key = make_certificate("first")
+            certificate_file.write_bytes(certificate)
+            key_file.write_bytes(key)
+            files = operator_access.AccessFiles(
+                certificate=certificate_file, key=key_file
+            )
+            operator_access.Access(files).check()
+            key_file.write_bytes(make_certificate("second")[1])
+            with self.assertRaisesRegex(errors.SettingsError, "write both"):
+                operator_access.Access(files).check()
