--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -276,6 +276,7 @@
     if view.report is not None:
         status.lease_held = view.report.lease_held
         status.in_flight = view.report.in_flight
+        status.owned_per_s = view.report.owned_per_s
         status.answered = view.report.answered
         status.not_run = view.report.not_run
         status.unknown = view.report.unknown
--- a/primrosecross/commands/cluster.py
+++ b/primrosecross/commands/cluster.py
@@ -34,7 +34,11 @@
                 "coordinator": reply.coordinator,
                 "store_calls": reply.store_calls,
                 "members": rows,
-                "services": [_service(s) for s in reply.services],
+                "services": [
+                    _service(s)
+                    | {"load_imbalance": _load_imbalance(s.name, reply)}
+                    for s in reply.services
+                ],
             }
         )
         return
@@ -44,7 +48,10 @@
     )
     output.show([_short(row) for row in rows], form)
     for service in reply.services:
-        typer.echo(f"{service.name}: imbalance {service.imbalance:.2f}")
+        typer.echo(
+            f"{service.name}: imbalance {service.imbalance:.2f} in shards a "
+            f"slot, {_load_imbalance(service.name, reply):.2f} in requests"
+        )
     for row in rows:
         if row["problem"]:
             typer.echo(f"{row['vm']}: {row['problem']}")
@@ -61,6 +68,7 @@
         "lease": _lease(member),
         "shards": member.shards,
         "in_flight": member.in_flight,
+        "owned_per_s": member.owned_per_s,
         "answered": member.answered,
         "not_run": member.not_run,
         "unknown": member.unknown,
@@ -69,6 +77,19 @@
     }
 
 
+def _load_imbalance(service: str, reply: operator_pb2.GetStatusReply) -> float:
+    """Returns the largest load a slot over the mean; 0 without load."""
+    rates, slots = [], []
+    for member in reply.members:
+        own = [t.slots for t in member.targets if t.service == service]
+        if own:
+            rates.append(member.owned_per_s)
+            slots.append(sum(own))
+    mean = sum(rates) / sum(slots) if slots else 0.0
+    loads = [rate / n for rate, n in zip(rates, slots, strict=True)]
+    return max(loads) / mean if mean else 0.0
+
+
 def _lease(member: operator_pb2.MemberStatus) -> str:
     if not member.asked:
         return "not asked"
@@ -87,6 +108,7 @@
         "lease": row["lease"],
         "shards": row["shards"],
         "runs": row["in_flight"],
+        "req/s": row["owned_per_s"],
     }
 
 
--- a/primrosecross/domain/load.py
+++ b/primrosecross/domain/load.py
@@ -92,6 +92,10 @@
         if self._chance >= 1.0 or random.random() < self._chance:
             self._samples.append(key_hash)
 
+    def rate(self) -> float:
+        """Returns requests per second of all shards owned here."""
+        return sum(average.rate for average in self._shards.values())
+
     def tick(
         self, table: assignment.OwnerTable, vm: str, elapsed_s: float
     ) -> None:
--- a/primrosecross/domain/load_reports.py
+++ b/primrosecross/domain/load_reports.py
@@ -74,6 +74,10 @@
             meter = self._meters.setdefault(service, load.LoadMeter())
         meter.record(key_hash)
 
+    def rate(self) -> float:
+        """Returns requests per second of all keys owned here."""
+        return sum(meter.rate() for meter in self._meters.values())
+
     def run(self) -> None:
         """Measures and reports until killed."""
         before_ns = self._clock.now_ns()
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -230,6 +230,7 @@
         plan_version: Version in force there.
         assignment_version: Version in force there.
         in_flight: Requests that run on its targets now.
+        owned_per_s: Requests per second of the keys it owns.
         answered: Requests that entered there and were answered.
         not_run: Requests that entered there and were refused.
         unknown: Requests that entered there and may have run.
@@ -239,6 +240,7 @@
     plan_version: int
     assignment_version: int
     in_flight: int
+    owned_per_s: int
     answered: int
     not_run: int
     unknown: int
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -258,6 +258,7 @@
             plan_version=self.state.plan.version,
             assignment_version=self.state.assignment.version,
             in_flight=self.executor.in_flight(),
+            owned_per_s=round(self.load.rate()),
             answered=self.meter.total(meter_module.ANSWERED),
             not_run=self.meter.total(meter_module.NOT_RUN),
             unknown=self.meter.total(meter_module.UNKNOWN),
