--- a/examples/contractor.py
+++ b/examples/contractor.py
@@ -7,6 +7,8 @@
     python -m grpc_tools.protoc -I primrosecross/rpc --python_out=. \
         --grpc_python_out=. operator.proto
     python contractor.py 127.0.0.1:30503 rezervace booking-7
+
+From this project it also runs as python -m examples.contractor.
 """
 
 import json
--- a/primrosecross/commands/timeline.py
+++ b/primrosecross/commands/timeline.py
@@ -81,6 +81,7 @@
     which came first and arrives later is still written first.
     """
     known_missing = {item.vm for item in reply.missing}
+    request.limit = 0
     held: list[timeline_text.Event] = []
     try:
         while True:
