Test shell completion by what it offers

Change: the command line has one name however it is started; the test asks the completion itself for commands and options, which is stricter.

--- a/primrosecross/cli.py
+++ b/primrosecross/cli.py
@@ -46,7 +46,7 @@
 def main() -> None:
     """Entry point of primrosecross."""
     try:
-        app()
+        app(prog_name="primrosecross")
     except BrokenPipeError:
         sys.stderr.close()
         sys.exit(0)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,7 +3,6 @@
 import json
 import os
 import pathlib
-import re
 import signal
 import socket
 import subprocess
@@ -337,9 +336,24 @@
         self.assertRegex(text, "cannot reach a daemon .*--daemon")
         self.assertEqual(text.count("\n"), 1)
 
-    def test_shell_completion_is_offered(self):
-        found = run_cli("--show-completion", "bash")
-        self.assertEqual(found.returncode, 0, found)
-        self.assertTrue(
-            re.search("primrosecross|_TYPER_COMPLETE", found.stdout)
-        )
+    def test_shell_completes_commands_and_options(self):
+        offered = {}
+        for words in ("primrosecross ", "primrosecross apply --"):
+            asked = {
+                "_PRIMROSECROSS_COMPLETE": "complete_bash",
+                "COMP_WORDS": words,
+                "COMP_CWORD": str(len(words.split(" ")) - 1),
+            }
+            found = subprocess.run(
+                [sys.executable, "-m", "primrosecross.cli"],
+                capture_output=True,
+                text=True,
+                timeout=RUN_S,
+                cwd=ROOT,
+                env=os.environ | asked,
+                check=False,
+            )
+            self.assertEqual(found.returncode, 0, found)
+            offered[words] = found.stdout.split()
+        self.assertIn("quarantine", offered["primrosecross "])
+        self.assertIn("--undo", offered["primrosecross apply --"])
