--- a/primrosecross/domain/operations.py
+++ b/primrosecross/domain/operations.py
@@ -252,30 +252,6 @@
                 )
         return self._office.tell(message, timeout_ms=COORDINATOR_TIMEOUT_MS)
 
-    def move(self, service: str, key: str, vm: str) -> None:
-        """Keeps a key at a VM, or has it balanced again with an empty name.
-
-        Raises:
-            errors.NotFoundError: No such keyed service, or no such member
-                that offers it.
-        """
-        if service not in self._state.assignment.tables:
-            raise errors.NotFoundError(
-                f"no keyed service {service!r} is in force",
-                remedy="see the plan for the services' names",
-            )
-        if vm:
-            self._check_member(vm)
-            if not self._state.assignment.members[vm].offers_service(service):
-                raise errors.NotFoundError(
-                    f"{vm} runs no target of {service}",
-                    remedy="choose a VM of the service, see the status",
-                )
-        self._office.tell(
-            messages.Move(service=service, key=key, vm=vm),
-            timeout_ms=COORDINATOR_TIMEOUT_MS,
-        )
-
     def _check_member(self, vm: str) -> None:
         if vm not in self._state.assignment.members:
             raise errors.NotFoundError(
