Forget replaced assignments once every resend window has passed

Cause: up to 64 whole assignments were kept however old, about 0.7 MB each at 620 members and 16384 partitions; bench/control asked for figures by a call that probes all members, which moved what it measured (38 KB/s at 32 daemons). Change: assignments replaced before the longest resend window are dropped; the benchmark reads each daemon's own metrics.

--- a/bench/control.py
+++ b/bench/control.py
@@ -2,7 +2,7 @@
 
 Daemons are separate processes; the targets' announcements are posted by this
 process, so that no target takes part. CPU time and memory are read from /proc,
-bytes and store calls from the daemons' status.
+bytes and store calls from the daemons' metrics.
 """
 
 import dataclasses
@@ -16,6 +16,7 @@
 
 import gevent
 import grpc
+from prometheus_client import parser
 
 from bench import result
 from primrosecross.rpc import operator_pb2
@@ -26,7 +27,7 @@
 BASE_PORT = 31500
 WINDOW_S = 15.0
 READY_S = 60.0
-SETTLE_S = 5.0
+SETTLE_S = 10.0
 FLEET_SIZE = 620
 MAX_CORE_PERCENT = 1.2
 MAX_MEMORY_MB = 256.0
@@ -142,26 +143,36 @@
     def _wait_for_leases(self) -> None:
         until = time.monotonic() + READY_S
         while time.monotonic() < until:
-            states = [self._status(vm) for vm in self._stubs]
-            if all(s.lease_held and s.plan_version for s in states):
+            seen = [self._metrics(vm) for vm in self._stubs]
+            if all(m["lease_held"] and m["plan_version"] for m in seen):
                 return
             gevent.sleep(0.5)
         raise TimeoutError(f"{self.size} daemons were not ready in time")
 
-    def _status(self, vm: str) -> operator_pb2.GetStatusReply:
-        request = operator_pb2.GetStatusRequest()
-        return self._stubs[vm].GetStatus(
-            request, timeout=READY_S, wait_for_ready=True
+    def _metrics(self, vm: str) -> dict[str, float]:
+        """Returns a daemon's own figures; it asks no other daemon for them."""
+        reply = self._stubs[vm].GetMetrics(
+            operator_pb2.GetMetricsRequest(),
+            timeout=READY_S,
+            wait_for_ready=True,
         )
+        return {
+            sample.name.removeprefix("primrosecross_"): sample.value
+            for family in parser.text_string_to_metric_families(reply.text)
+            for sample in family.samples
+        }
 
     def moved(self) -> dict[str, Moved]:
         """Asks each daemon what it has sent, received and called."""
         found = {}
         for vm in self._stubs:
-            seen = self._status(vm)
+            seen = self._metrics(vm)
             found[vm] = Moved(
-                bytes_moved=seen.sent_bytes + seen.received_bytes,
-                store_calls=seen.store_calls,
+                bytes_moved=int(
+                    seen["peer_sent_bytes_total"]
+                    + seen["peer_received_bytes_total"]
+                ),
+                store_calls=int(seen["store_calls_total"]),
             )
         return found
 
--- a/primrosecross/domain/holders.py
+++ b/primrosecross/domain/holders.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 
+import gevent
 import xxhash
 
 from primrosecross.domain import assignment
@@ -107,10 +108,23 @@
     def _observe(self) -> None:
         if self._state.assignment is self._present:
             return
+        self.drop_old()
         if len(self._replaced) == MAX_VERSIONS:
             self._forgotten_ns = self._replaced[0].at_ns
         self._replaced.append(_Replaced(self._present, self._clock.now_ns()))
         self._present = self._state.assignment
+        gevent.spawn_later(self._longest_window_ms() / 1000, self.drop_old)
+
+    def _longest_window_ms(self) -> int:
+        services = self._state.plan.services.values()
+        return max((s.resend_window_ms for s in services), default=0)
+
+    def drop_old(self) -> None:
+        """Forgets assignments replaced before every resend window."""
+        window_ns = self._longest_window_ms() * lease_module.NS_PER_MS
+        since_ns = self._clock.now_ns() - window_ns
+        while self._replaced and self._replaced[0].at_ns < since_ns:
+            self._replaced.popleft()
 
     def earlier(
         self,
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -161,6 +161,19 @@
         result = self.c.router.route(self.cluster.request())
         self.assertIsInstance(result, outcome.Answered)
 
+    def test_assignments_before_the_window_are_not_kept(self):
+        known = self.c.executor._attempts._holders
+        for _ in range(5):
+            self.cluster.give("b")
+            self.cluster.give("a")
+        self.assertGreaterEqual(len(known._replaced), 10)
+        self.cluster.clock.advance(self.cluster.declared.resend_window_ms + 1)
+        self.cluster.give("b")
+        self.assertEqual(len(known._replaced), 1)
+        self.cluster.clock.advance(self.cluster.declared.resend_window_ms + 1)
+        known.drop_old()
+        self.assertEqual(len(known._replaced), 0)
+
     def test_owner_that_moved_the_key_is_asked(self):
         first = self.c.router.route(self.cluster.request())
         self.cluster.give("b")
