Free the index of replaced assignments

Cause: the index of owned shards is 1.87 MB of the 2.6 MB that one version holds at 620 members and 16384 partitions (traced), and up to 64 replaced versions are kept within a resend window. Change: a replaced version drops its index. Result: 64 versions hold 47 MB instead of 166 MB (worked out from the traced sizes); 25 tests of requests pass.

--- a/primrosecross/domain/assignment.py
+++ b/primrosecross/domain/assignment.py
@@ -238,6 +238,10 @@
             self._owned = owned
         return self._owned
 
+    def drop_index(self) -> None:
+        """Frees the index behind owned(); it is made again when asked for."""
+        self._owned = None
+
     def shards_of(self, vm: str) -> list[int]:
         """Returns all shards a VM owns, in order."""
         return sorted(self.owned().get(vm, ()))
--- a/primrosecross/domain/holders.py
+++ b/primrosecross/domain/holders.py
@@ -111,6 +111,8 @@
         self.drop_old()
         if len(self._replaced) == MAX_VERSIONS:
             self._forgotten_ns = self._replaced[0].at_ns
+        for table in self._present.tables.values():
+            table.drop_index()
         self._replaced.append(_Replaced(self._present, self._clock.now_ns()))
         self._present = self._state.assignment
         gevent.spawn_later(self._longest_window_ms() / 1000, self.drop_old)
