--- a/bench/balance.py
+++ b/bench/balance.py
@@ -16,7 +16,7 @@
 from primrosecross.domain import assignment
 from primrosecross.domain import balance
 from primrosecross.domain import decisions
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
 from primrosecross.domain import plan
 
 SERVICE = "rezervace"
@@ -166,7 +166,7 @@
         return loads
 
     def _report(self, vm: str, rows: dict[int, float]) -> None:
-        report = messages.LoadReport(
+        report = member_messages.LoadReport(
             vm=vm,
             epoch=1,
             service=SERVICE,
--- a/bench/blocking.py
+++ b/bench/blocking.py
@@ -19,7 +19,9 @@
 from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import messages
+from primrosecross.domain import request_messages
 from primrosecross.domain import stamp
+from primrosecross.domain import stream_messages
 
 BASE_PORT = 28900
 BODY_BYTES = 64 << 20
@@ -50,8 +52,10 @@
     def run(self) -> None:
         """Queues all pieces."""
         for piece in body.pieces(self._source):
-            self._post(messages.StreamPiece(piece))
-        self._post(messages.StreamEnd(0, 0, "baseline without a checksum"))
+            self._post(stream_messages.StreamPiece(piece))
+        self._post(
+            stream_messages.StreamEnd(0, 0, "baseline without a checksum")
+        )
 
 
 class _FifoConnection(peer_connection.Connection):
@@ -61,8 +65,12 @@
 
 def _peer(vm: str, port: int) -> peer_streams.PeerStreams:
     peer = peer_streams.PeerStreams(
-        hello=messages.Hello(
-            peer_connection.PROTOCOL, "bench", vm, vm, messages.Lane.CONTROL
+        hello=stream_messages.Hello(
+            peer_connection.PROTOCOL,
+            "bench",
+            vm,
+            vm,
+            stream_messages.Lane.CONTROL,
         ),
         listen=("127.0.0.1", port),
         stamps=stamp.StampClock(clock=boot_clock.BootClock()),
@@ -71,8 +79,8 @@
     return peer
 
 
-def _forward(path: str) -> messages.Forward:
-    return messages.Forward(
+def _forward(path: str) -> request_messages.Forward:
+    return request_messages.Forward(
         request_id="id",
         service="s",
         key="k",
@@ -88,9 +96,9 @@
     )
 
 
-def _handle(message: messages.Forward) -> messages.Message:
+def _handle(message: request_messages.Forward) -> messages.Message:
     content = _Zeros() if message.path == "/long" else b""
-    return messages.ForwardAnswered("id", 200, (), content)
+    return request_messages.ForwardAnswered("id", 200, (), content)
 
 
 class _Transfers:
--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -13,8 +13,8 @@
 from primrosecross.domain import collector as collector_module
 from primrosecross.domain import errors
 from primrosecross.domain import lease as lease_module
-from primrosecross.domain import messages
 from primrosecross.domain import operations as operations_module
+from primrosecross.domain import operator_messages
 from primrosecross.domain import state as state_module
 from primrosecross.domain import status as status_module
 from primrosecross.models import plan as plan_model
@@ -205,7 +205,7 @@
         """Returns the time line."""
         collected = self._collector.collect(
             cursors=tuple(
-                messages.EventCursor(c.vm, c.incarnation, c.sequence)
+                operator_messages.EventCursor(c.vm, c.incarnation, c.sequence)
                 for c in request.cursors
             ),
             limit=request.limit,
@@ -233,7 +233,7 @@
         return operator_pb2.GetMetricsReply(text=self._metrics().decode())
 
 
-def _event_entry(event: messages.EventInfo) -> operator_pb2.EventEntry:
+def _event_entry(event: operator_messages.EventInfo) -> operator_pb2.EventEntry:
     return operator_pb2.EventEntry(
         vm=event.vm,
         sequence=event.sequence,
--- a/primrosecross/adapters/peer_body.py
+++ b/primrosecross/adapters/peer_body.py
@@ -15,6 +15,7 @@
 from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import messages
+from primrosecross.domain import stream_messages
 
 WINDOW_BYTES = 256 * 1024
 PIECE_BYTES = 32 * 1024
@@ -67,7 +68,7 @@
         self._pieces.append(piece)
         self._changed.set()
 
-    def end(self, message: messages.StreamEnd) -> None:
+    def end(self, message: stream_messages.StreamEnd) -> None:
         """Takes in the end of the body and verifies it."""
         problem = message.problem
         if not problem and message.length != self._received_bytes:
@@ -114,12 +115,12 @@
         if credit < WINDOW_BYTES // 4 or self._ended or self._post is None:
             return
         self._credited_bytes += credit
-        self._post(messages.StreamCredit(credit))
+        self._post(stream_messages.StreamCredit(credit))
 
     def close(self) -> None:
         """Gives up what has not been read and tells the sender."""
         if not self.finished and not self._ended and self._post is not None:
-            self._post(messages.StreamStop())
+            self._post(stream_messages.StreamStop())
         self._pieces.clear()
         self.finish()
 
@@ -177,7 +178,9 @@
             self._source.close()
             if not self._stopped:
                 self._put(
-                    messages.StreamEnd(length, checksum.intdigest(), problem)
+                    stream_messages.StreamEnd(
+                        length, checksum.intdigest(), problem
+                    )
                 )
 
     def _send(self, part: bytes) -> bool:
@@ -192,7 +195,7 @@
                     remedy="read the body faster",
                 )
         self._credit_bytes -= len(part)
-        self._put(messages.StreamPiece(part))
+        self._put(stream_messages.StreamPiece(part))
         return not self._stopped
 
     def _put(self, message: messages.Message) -> None:
--- a/primrosecross/adapters/peer_connection.py
+++ b/primrosecross/adapters/peer_connection.py
@@ -23,6 +23,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
+from primrosecross.domain import stream_messages
 from primrosecross.ports import peers as peers_port
 
 PROTOCOL = 2
@@ -65,7 +66,7 @@
         self,
         *,
         sock: gevent_socket.socket,
-        hello: messages.Hello,
+        hello: stream_messages.Hello,
         handler: peers_port.Handler,
         stamps: stamp.StampClock,
         counts: collections.Counter[str],
@@ -99,7 +100,7 @@
         self.silent = False
         self.calls_lost = 0
         self.greeted = gevent_event.Event()
-        self.other: messages.Hello | None = None
+        self.other: stream_messages.Hello | None = None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
 
@@ -159,7 +160,7 @@
             self.silent = True
             self._close()
         elif self.other is not None:
-            self._post(0, messages.Ping(), is_answer=False)
+            self._post(0, stream_messages.Ping(), is_answer=False)
 
     def watch_unused(self) -> None:
         """Closes a connection after UNUSED_LOOKS of this without a call."""
@@ -177,7 +178,7 @@
 
     def _greet(self, message: messages.Message) -> None:
         mine = self._hello
-        if not isinstance(message, messages.Hello):
+        if not isinstance(message, stream_messages.Hello):
             raise errors.PeerProtocolError(
                 "the first message was no greeting",
                 remedy="connect only daemons to the peer port",
@@ -217,7 +218,7 @@
         if call is None:
             self._counts["answers_late"] += 1
             if isinstance(messages.body_of(frame.message), body.Stream):
-                stop = messages.StreamStop()
+                stop = stream_messages.StreamStop()
                 self._post(frame.call, stop, is_answer=True)
             return
         self._bind(frame)
@@ -236,7 +237,9 @@
         if len(self._incoming) >= MAX_STREAMS:
             self._counts["streams_refused"] += 1
             stream.cut(f"more than {MAX_STREAMS} bodies at once")
-            self._post(frame.call, messages.StreamStop(), is_answer=key[1])
+            self._post(
+                frame.call, stream_messages.StreamStop(), is_answer=key[1]
+            )
             return False
         stream.bind(
             functools.partial(self._post, frame.call, is_answer=frame.is_answer)
@@ -246,12 +249,14 @@
         return True
 
     @_receive.register
-    def _receive_ping(self, _: messages.Ping, frame: peer_codec.Frame) -> None:
-        self._post(frame.call, messages.Done(), is_answer=True)
+    def _receive_ping(
+        self, _: stream_messages.Ping, frame: peer_codec.Frame
+    ) -> None:
+        self._post(frame.call, stream_messages.Done(), is_answer=True)
 
     @_receive.register
     def _receive_cancel(
-        self, _: messages.Cancel, frame: peer_codec.Frame
+        self, _: stream_messages.Cancel, frame: peer_codec.Frame
     ) -> None:
         task = self._answering.get(frame.call)
         if task is not None:
@@ -260,7 +265,7 @@
 
     @_receive.register
     def _receive_piece(
-        self, message: messages.StreamPiece, frame: peer_codec.Frame
+        self, message: stream_messages.StreamPiece, frame: peer_codec.Frame
     ) -> None:
         stream = self._incoming.get((frame.call, frame.is_answer))
         if stream is not None:
@@ -268,7 +273,7 @@
 
     @_receive.register
     def _receive_end(
-        self, message: messages.StreamEnd, frame: peer_codec.Frame
+        self, message: stream_messages.StreamEnd, frame: peer_codec.Frame
     ) -> None:
         stream = self._incoming.get((frame.call, frame.is_answer))
         if stream is not None:
@@ -276,7 +281,7 @@
 
     @_receive.register
     def _receive_credit(
-        self, message: messages.StreamCredit, frame: peer_codec.Frame
+        self, message: stream_messages.StreamCredit, frame: peer_codec.Frame
     ) -> None:
         outgoing = self._outgoing.get((frame.call, frame.is_answer))
         if outgoing is not None:
@@ -284,7 +289,7 @@
 
     @_receive.register
     def _receive_stop(
-        self, _: messages.StreamStop, frame: peer_codec.Frame
+        self, _: stream_messages.StreamStop, frame: peer_codec.Frame
     ) -> None:
         outgoing = self._outgoing.get((frame.call, frame.is_answer))
         if outgoing is not None:
@@ -308,7 +313,7 @@
             return self._handler(message)
         except Exception:
             _logger.exception("%s was not handled", type(message).__name__)
-            return messages.Failure(
+            return stream_messages.Failure(
                 f"{type(message).__name__} met a fault in the daemon",
                 "see the daemon's log",
             )
@@ -418,7 +423,9 @@
             if self._calls.pop(number, None) is not None:
                 call.abandoned = True
                 if call.sent:
-                    self._post(number, messages.Cancel(), is_answer=False)
+                    self._post(
+                        number, stream_messages.Cancel(), is_answer=False
+                    )
 
     def _sending_body(
         self, number: int, message: messages.Message
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peer_streams.py
@@ -18,6 +18,7 @@
 from primrosecross.domain import events
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
+from primrosecross.domain import stream_messages
 from primrosecross.ports import peers as peers_port
 
 PROTOCOL = peer_connection.PROTOCOL
@@ -79,7 +80,7 @@
     def __init__(
         self,
         *,
-        hello: messages.Hello,
+        hello: stream_messages.Hello,
         listen: tuple[str, int],
         stamps: stamp.StampClock,
         record: Callable[[events.Event], None] = lambda event: None,
@@ -91,7 +92,7 @@
         self._hello = hello
         self._record = record
         self._addresses: dict[str, str] = {}
-        self._links: dict[tuple[str, messages.Lane], _Link] = {}
+        self._links: dict[tuple[str, stream_messages.Lane], _Link] = {}
         self._accepted: set[peer_connection.Connection] = set()
         self._watching: gevent.Greenlet | None = None
         self._server = gevent_server.StreamServer(
@@ -135,7 +136,7 @@
         return sum(
             connection.answering
             for connection in self._accepted
-            if connection.lane == messages.Lane.REQUESTS
+            if connection.lane == stream_messages.Lane.REQUESTS
         )
 
     def learn_address(self, vm: str, address: str) -> None:
@@ -143,7 +144,7 @@
         if self._addresses.get(vm) == address:
             return
         self._addresses[vm] = address
-        for lane in messages.Lane:
+        for lane in stream_messages.Lane:
             link = self._links.pop((vm, lane), None)
             if link is not None and link.connection is not None:
                 link.connection.close()
@@ -156,7 +157,7 @@
         return connection.call(message, timeout_ms=timeout_ms)
 
     def _connect(
-        self, vm: str, lane: messages.Lane, timeout_ms: int
+        self, vm: str, lane: stream_messages.Lane, timeout_ms: int
     ) -> peer_connection.Connection:
         link = self._links.get((vm, lane))
         if link is None:
@@ -174,7 +175,7 @@
             remedy="check that its daemon runs and is reachable",
         )
 
-    def _dial(self, vm: str, lane: messages.Lane, link: _Link) -> None:
+    def _dial(self, vm: str, lane: stream_messages.Lane, link: _Link) -> None:
         try:
             connection = self._open(vm, lane)
         except (OSError, errors.PeerError) as error:
@@ -186,7 +187,9 @@
         link.backoff_s = 0.0
         link.connection = connection
 
-    def _open(self, vm: str, lane: messages.Lane) -> peer_connection.Connection:
+    def _open(
+        self, vm: str, lane: stream_messages.Lane
+    ) -> peer_connection.Connection:
         host, _, port = self._addresses.get(vm, "").rpartition(":")
         if not host:
             raise errors.PeerUnsentError(
@@ -212,7 +215,7 @@
     def _make(
         self,
         sock: gevent_socket.socket,
-        lane: messages.Lane,
+        lane: stream_messages.Lane,
         *,
         accepted: bool = False,
     ) -> peer_connection.Connection:
@@ -246,7 +249,9 @@
 
     def _accept(self, sock: gevent_socket.socket, _: object) -> None:
         try:
-            connection = self._make(sock, messages.Lane.CONTROL, accepted=True)
+            connection = self._make(
+                sock, stream_messages.Lane.CONTROL, accepted=True
+            )
         except OSError as error:
             _logger.info("a peer was refused: %s", error)
             sock.close()
@@ -259,7 +264,7 @@
 
 
 def _no_handler(message: messages.Message) -> messages.Message:
-    return messages.Failure(
+    return stream_messages.Failure(
         f"{type(message).__name__} came before the daemon was ready",
         "send it again",
     )
--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -33,9 +33,9 @@
 from primrosecross.domain import events  # noqa: E402
 from primrosecross.domain import lease  # noqa: E402
 from primrosecross.domain import membership  # noqa: E402
-from primrosecross.domain import messages  # noqa: E402
 from primrosecross.domain import node as node_module  # noqa: E402
 from primrosecross.domain import stamp  # noqa: E402
+from primrosecross.domain import stream_messages  # noqa: E402
 from primrosecross.models import settings as settings_model  # noqa: E402
 
 SEEDS_RETRY_S = 1.0
@@ -74,12 +74,12 @@
             stamps=stamps,
         )
         self.peers = peer_streams.PeerStreams(
-            hello=messages.Hello(
+            hello=stream_messages.Hello(
                 protocol=peer_streams.PROTOCOL,
                 cluster=settings.cluster,
                 vm=settings.vm,
                 incarnation=identity.incarnation,
-                lane=messages.Lane.CONTROL,
+                lane=stream_messages.Lane.CONTROL,
             ),
             listen=_pair(settings.peer),
             stamps=stamps,
--- a/primrosecross/domain/attempts.py
+++ b/primrosecross/domain/attempts.py
@@ -19,6 +19,7 @@
 from primrosecross.domain import plan
 from primrosecross.domain import replies
 from primrosecross.domain import request
+from primrosecross.domain import request_messages
 from primrosecross.domain import state as state_module
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
@@ -114,7 +115,7 @@
         vms = {holder.vm for holder in earlier} - set(asked)
         asked += tuple(sorted(vms))
         for vm in sorted(vms):
-            question = messages.AskAnswer(
+            question = request_messages.AskAnswer(
                 request_id=identity.request_id,
                 service=identity.service,
                 key=identity.key,
@@ -132,7 +133,7 @@
         return max(1, min(ASK_TIMEOUT_MS, left_ns // lease_module.NS_PER_MS))
 
     def _ask(
-        self, vm: str, question: messages.AskAnswer
+        self, vm: str, question: request_messages.AskAnswer
     ) -> outcome.Outcome | None:
         try:
             reply = self._peers.call(
@@ -140,11 +141,13 @@
             )
         except errors.PeerError as error:
             return _unknown(f"its earlier owner {vm} does not answer: {error}")
-        if reply == messages.AnswerAbsent(question.request_id):
+        if reply == request_messages.AnswerAbsent(question.request_id):
             return None
         return replies.outcome_of(reply, question.request_id)
 
-    def answer_ask(self, question: messages.AskAnswer) -> messages.Message:
+    def answer_ask(
+        self, question: request_messages.AskAnswer
+    ) -> messages.Message:
         """Tells a later owner what became of a request here."""
         identity = identity_module.Identity(
             question.service, question.key, question.request_id
@@ -177,7 +180,7 @@
                 deadline_ns=deadline_ns,
             )
         if found is None:
-            return messages.AnswerAbsent(question.request_id)
+            return request_messages.AnswerAbsent(question.request_id)
         return replies.reply_of(found, question.request_id)
 
 
--- a/primrosecross/domain/balance.py
+++ b/primrosecross/domain/balance.py
@@ -6,7 +6,7 @@
 from primrosecross.domain import demand as demand_module
 from primrosecross.domain import hot_keys
 from primrosecross.domain import lease as lease_module
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
 from primrosecross.domain import plan
 from primrosecross.domain import shares as shares_module
 from primrosecross.ports import clock as clock_port
@@ -70,7 +70,7 @@
         return self._demand.setdefault(service, demand_module.Demand())
 
     def take_report(
-        self, report: messages.LoadReport, current: assignment.Assignment
+        self, report: member_messages.LoadReport, current: assignment.Assignment
     ) -> bool:
         """Takes in an owner's report; returns whether it names a hot key.
 
--- a/primrosecross/domain/collector.py
+++ b/primrosecross/domain/collector.py
@@ -14,6 +14,7 @@
 from primrosecross.domain import fanout
 from primrosecross.domain import messages
 from primrosecross.domain import observer
+from primrosecross.domain import operator_messages
 from primrosecross.domain import state as state_module
 from primrosecross.ports import peers as peers_port
 
@@ -43,8 +44,8 @@
         dropped: Events left out to keep the bounds.
     """
 
-    events: tuple[messages.EventInfo, ...]
-    cursors: tuple[messages.EventCursor, ...]
+    events: tuple[operator_messages.EventInfo, ...]
+    cursors: tuple[operator_messages.EventCursor, ...]
     missing: tuple[Missing, ...]
     dropped: int
 
@@ -87,15 +88,17 @@
                 self._departed.append(vm)
         self._known = present
 
-    def part(self, question: messages.ReadTimeline) -> messages.TimelinePart:
+    def part(
+        self, question: operator_messages.ReadTimeline
+    ) -> operator_messages.TimelinePart:
         """Returns this daemon's events after a reader's cursor."""
         cursor = question.cursor
         same = cursor.incarnation == self._incarnation
         after = cursor.sequence if same else 0
         entries = self._timeline.entries(after=after)
         latest = entries[-max(1, question.limit) :]
-        return messages.TimelinePart(
-            cursor=messages.EventCursor(
+        return operator_messages.TimelinePart(
+            cursor=operator_messages.EventCursor(
                 self._vm, self._incarnation, self._timeline.sequence
             ),
             events=tuple(_render(entry) for entry in latest),
@@ -105,7 +108,7 @@
     def collect(
         self,
         *,
-        cursors: tuple[messages.EventCursor, ...] = (),
+        cursors: tuple[operator_messages.EventCursor, ...] = (),
         limit: int = 0,
         local: bool = False,
     ) -> Collected:
@@ -121,8 +124,8 @@
         share = max(MIN_PEER_EVENTS, limit // (len(others) + 1))
         read = {cursor.vm: cursor for cursor in cursors}
         questions: dict[str, messages.Message] = {
-            vm: messages.ReadTimeline(
-                read.get(vm) or messages.EventCursor(vm, "", 0), share
+            vm: operator_messages.ReadTimeline(
+                read.get(vm) or operator_messages.EventCursor(vm, "", 0), share
             )
             for vm in [self._vm, *others]
         }
@@ -145,14 +148,14 @@
     def _merge(
         self,
         parts: dict[str, fanout.Answer],
-        read: dict[str, messages.EventCursor],
+        read: dict[str, operator_messages.EventCursor],
         limit: int,
     ) -> Collected:
-        merged: list[messages.EventInfo] = []
+        merged: list[operator_messages.EventInfo] = []
         missing = []
         dropped = 0
         for vm, part in parts.items():
-            if isinstance(part, messages.TimelinePart):
+            if isinstance(part, operator_messages.TimelinePart):
                 merged += part.events
                 dropped += part.dropped
                 read[vm] = part.cursor
@@ -181,8 +184,8 @@
         return f"answered with {type(answer).__name__}"
 
 
-def _render(entry: events.Entry) -> messages.EventInfo:
-    return messages.EventInfo(
+def _render(entry: events.Entry) -> operator_messages.EventInfo:
+    return operator_messages.EventInfo(
         vm=entry.vm,
         sequence=entry.sequence,
         stamp=entry.stamp,
--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/coordinator.py
@@ -21,10 +21,13 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import lease as lease_module
+from primrosecross.domain import member_messages
 from primrosecross.domain import messages
+from primrosecross.domain import operator_messages
 from primrosecross.domain import plan
 from primrosecross.domain import revocation
 from primrosecross.domain import state as state_module
+from primrosecross.domain import stream_messages
 from primrosecross.domain import witness_sets
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import clock as clock_port
@@ -70,7 +73,7 @@
         state: state_module.State,
         archive: archive_port.Archive,
         peers: peers_port.Peers,
-        refuse_locally: Callable[[messages.Refuse], messages.Message],
+        refuse_locally: Callable[[member_messages.Refuse], messages.Message],
         clock: clock_port.Clock,
         timing: lease_module.LeaseTiming,
         timeline: events.Timeline,
@@ -89,35 +92,37 @@
         self._store_version = ""
         self._problem = ""
         self._inbox: list[_Taken] = []
-        self._joins: dict[tuple[str, str], messages.Join] = {}
+        self._joins: dict[tuple[str, str], member_messages.Join] = {}
         self._suspicions: dict[tuple[str, int], dict[str, int]] = {}
         self._witnesses_since: dict[str, int] = {}
         self._ignored_partitions: dict[str, int] = {}
         self._revoking: dict[str, gevent.Greenlet] = {}
         self._wake = gevent_event.Event()
         self._take = functools.singledispatch(self._take_unknown)
-        self._take.register(messages.Join, self._take_join)
-        self._take.register(messages.Suspect, self._take_suspect)
-        self._take.register(messages.Release, self._take_in)
-        self._take.register(messages.Confirm, self._take_confirm)
-        self._take.register(messages.Drain, self._take_in)
-        self._take.register(messages.Undrain, self._take_in)
-        self._take.register(messages.Move, self._take_in)
-        self._take.register(messages.LoadReport, self._take_load)
-        self._take.register(messages.ListConfirmed, self._list_confirmed)
-        self.confirmed: dict[str, messages.Confirm] = {}
+        self._take.register(member_messages.Join, self._take_join)
+        self._take.register(member_messages.Suspect, self._take_suspect)
+        self._take.register(member_messages.Release, self._take_in)
+        self._take.register(member_messages.Confirm, self._take_confirm)
+        self._take.register(operator_messages.Drain, self._take_in)
+        self._take.register(operator_messages.Undrain, self._take_in)
+        self._take.register(operator_messages.Move, self._take_in)
+        self._take.register(member_messages.LoadReport, self._take_load)
+        self._take.register(
+            operator_messages.ListConfirmed, self._list_confirmed
+        )
+        self.confirmed: dict[str, member_messages.Confirm] = {}
 
     def handle(self, message: messages.Message) -> messages.Message:
         """Takes in a message meant for the coordinator."""
         if not self._election.in_office:
-            return messages.Failure(
+            return stream_messages.Failure(
                 f"{self._vm} is not the coordinator",
                 "read the coordinator's term again",
             )
         return self._take(message)
 
     def _take_unknown(self, message: messages.Message) -> messages.Message:
-        return messages.Failure(
+        return stream_messages.Failure(
             f"{type(message).__name__} is not for the coordinator",
             "send it to the member concerned",
         )
@@ -125,9 +130,9 @@
     def _take_in(self, message: object) -> messages.Message:
         self._inbox.append(_Taken(self._election.term_number, message))
         self._wake.set()
-        return messages.Done()
+        return stream_messages.Done()
 
-    def _take_join(self, join: messages.Join) -> messages.Message:
+    def _take_join(self, join: member_messages.Join) -> messages.Message:
         self._joins[join.vm, join.incarnation] = join
         self._wake.set()
         try:
@@ -135,25 +140,31 @@
         finally:
             self._joins.pop((join.vm, join.incarnation), None)
 
-    def _wait_for_admission(self, join: messages.Join) -> messages.Message:
+    def _wait_for_admission(
+        self, join: member_messages.Join
+    ) -> messages.Message:
         until_ns = self._clock.now_ns() + JOIN_WAIT_MS * lease_module.NS_PER_MS
         member = None
         while self._clock.now_ns() < until_ns and self._election.in_office:
             member = self._state.assignment.members.get(join.vm)
             if decisions.is_admitted(join, member):
-                return messages.Done()
+                return stream_messages.Done()
             self._clock.sleep(BATCH_MS)
         if member is not None and member.incarnation != join.incarnation:
-            return messages.Failure(
+            return stream_messages.Failure(
                 f"another daemon named {join.vm} is a member",
                 "give each VM its own name, or stop the other daemon",
             )
-        return messages.Failure("admission takes long", "send Join again")
+        return stream_messages.Failure(
+            "admission takes long", "send Join again"
+        )
 
-    def _take_suspect(self, suspect: messages.Suspect) -> messages.Message:
+    def _take_suspect(
+        self, suspect: member_messages.Suspect
+    ) -> messages.Message:
         member = self._state.assignment.members.get(suspect.vm)
         if member is None or member.epoch != suspect.epoch:
-            return messages.Done()
+            return stream_messages.Done()
         now_ns = self._clock.now_ns()
         recent_ns = now_ns - self._timing.suspect_ms * lease_module.NS_PER_MS
         reports = self._suspicions.setdefault((suspect.vm, suspect.epoch), {})
@@ -162,19 +173,23 @@
         if len(current & set(member.witnesses)) > len(member.witnesses) // 2:
             del self._suspicions[suspect.vm, suspect.epoch]
             self._take_in(decisions.Suspected(suspect.vm, suspect.epoch))
-        return messages.Done()
+        return stream_messages.Done()
 
-    def _take_confirm(self, confirm: messages.Confirm) -> messages.Message:
+    def _take_confirm(
+        self, confirm: member_messages.Confirm
+    ) -> messages.Message:
         self.confirmed[confirm.vm] = confirm
         member = self._state.assignment.members.get(confirm.vm)
         if member is None or not member.previous_witnesses:
-            return messages.Done()
+            return stream_messages.Done()
         return self._take_in(confirm)
 
-    def _take_load(self, report: messages.LoadReport) -> messages.Message:
+    def _take_load(
+        self, report: member_messages.LoadReport
+    ) -> messages.Message:
         member = self._state.assignment.members.get(report.vm)
         if member is None or member.epoch != report.epoch:
-            return messages.Failure(
+            return stream_messages.Failure(
                 f"{report.vm} is no member of epoch {report.epoch}",
                 "read the assignment again",
             )
@@ -182,10 +197,16 @@
             self._wake.set()
         term = f"{self._vm}/{self._election.term_number}"
         hot_rate = self._balancer.hot_rate(report.service)
-        return messages.LoadAck(coordinator=term, hot_rate=round(hot_rate))
+        return member_messages.LoadAck(
+            coordinator=term, hot_rate=round(hot_rate)
+        )
 
-    def _list_confirmed(self, _: messages.ListConfirmed) -> messages.Message:
-        return messages.Confirmed(self._vm, tuple(self.confirmed.values()))
+    def _list_confirmed(
+        self, _: operator_messages.ListConfirmed
+    ) -> messages.Message:
+        return operator_messages.Confirmed(
+            self._vm, tuple(self.confirmed.values())
+        )
 
     def run(self) -> None:
         """Writes decisions while in office, until killed."""
@@ -337,12 +358,12 @@
 
     def _ask_refusal(self, proof: revocation.Revocation, witness: str) -> None:
         sent_ns = self._clock.now_ns()
-        question = messages.Refuse(vm=proof.vm, epoch=proof.epoch)
+        question = member_messages.Refuse(vm=proof.vm, epoch=proof.epoch)
         try:
             ack = self._ask_witness(witness, question)
         except errors.PeerError:
             return
-        if isinstance(ack, messages.RefuseAck):
+        if isinstance(ack, member_messages.RefuseAck):
             proof.record(
                 witness=witness,
                 incarnation=ack.incarnation,
@@ -352,7 +373,7 @@
             )
 
     def _ask_witness(
-        self, witness: str, question: messages.Refuse
+        self, witness: str, question: member_messages.Refuse
     ) -> messages.Message:
         if witness == self._vm:
             return self._refuse_locally(question)
--- a/primrosecross/domain/decisions.py
+++ b/primrosecross/domain/decisions.py
@@ -8,7 +8,8 @@
 
 from primrosecross.domain import assignment
 from primrosecross.domain import events
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
+from primrosecross.domain import operator_messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +50,9 @@
     raise TypeError(f"no decision for {type(message).__name__}")
 
 
-def is_admitted(join: messages.Join, member: assignment.Member | None) -> bool:
+def is_admitted(
+    join: member_messages.Join, member: assignment.Member | None
+) -> bool:
     """Tells whether the member record is what the join asked for."""
     return (
         member is not None
@@ -58,7 +61,7 @@
     )
 
 
-def offers_of(join: messages.Join) -> tuple[assignment.Offer, ...]:
+def offers_of(join: member_messages.Join) -> tuple[assignment.Offer, ...]:
     """Returns the targets that a join announces."""
     return tuple(
         assignment.Offer(o.service, o.slots, o.checks_generation)
@@ -67,7 +70,7 @@
 
 
 @apply.register
-def _(join: messages.Join, draft: Draft) -> int:
+def _(join: member_messages.Join, draft: Draft) -> int:
     members = draft.assignment.members
     present = members.get(join.vm)
     if is_admitted(join, present):
@@ -84,7 +87,7 @@
     return 0  # The earlier process goes first; it is suspected if it is dead.
 
 
-def _new_member(join: messages.Join, epoch: int) -> assignment.Member:
+def _new_member(join: member_messages.Join, epoch: int) -> assignment.Member:
     return assignment.Member(
         vm=join.vm,
         place=join.place,
@@ -114,7 +117,7 @@
 
 
 @apply.register
-def _(drain: messages.Drain, draft: Draft) -> int:
+def _(drain: operator_messages.Drain, draft: Draft) -> int:
     if drain.vm not in draft.assignment.members:
         return 0
     marked = _mark(draft, drain.vm, assignment.MemberState.LEAVING)
@@ -125,7 +128,7 @@
 
 
 @apply.register
-def _(undrain: messages.Undrain, draft: Draft) -> int:
+def _(undrain: operator_messages.Undrain, draft: Draft) -> int:
     member = draft.assignment.members.get(undrain.vm)
     if member is None or member.state is not assignment.MemberState.LEAVING:
         return 0
@@ -138,7 +141,7 @@
 
 
 @apply.register
-def _(move: messages.Move, draft: Draft) -> int:
+def _(move: operator_messages.Move, draft: Draft) -> int:
     table = draft.assignment.tables.get(move.service)
     if table is None:
         return 0
@@ -173,7 +176,7 @@
 
 
 @apply.register
-def _(release: messages.Release, draft: Draft) -> int:
+def _(release: member_messages.Release, draft: Draft) -> int:
     member = draft.assignment.members.get(release.vm)
     table = draft.assignment.tables.get(release.service)
     if table is None or member is None or member.epoch != release.epoch:
@@ -231,7 +234,7 @@
 
 
 @apply.register
-def _(confirm: messages.Confirm, draft: Draft) -> int:
+def _(confirm: member_messages.Confirm, draft: Draft) -> int:
     member = draft.assignment.members.get(confirm.vm)
     if member is None or member.epoch != confirm.epoch:
         return 0
--- a/primrosecross/domain/handover.py
+++ b/primrosecross/domain/handover.py
@@ -10,7 +10,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import hot_keys
 from primrosecross.domain import lease as lease_module
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
 from primrosecross.domain import office as office_module
 from primrosecross.domain import state as state_module
 from primrosecross.ports import clock as clock_port
@@ -145,7 +145,7 @@
         shards: tuple[int, ...],
         busy: dict[int, set[int]],
     ) -> None:
-        release = messages.Release(
+        release = member_messages.Release(
             vm=self._vm,
             epoch=epoch,
             service=table.service,
--- a/primrosecross/domain/load_reports.py
+++ b/primrosecross/domain/load_reports.py
@@ -6,7 +6,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import load
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
 from primrosecross.domain import office as office_module
 from primrosecross.domain import state as state_module
 from primrosecross.ports import clock as clock_port
@@ -100,7 +100,7 @@
 
     def _due(
         self, service: str, meter: load.LoadMeter
-    ) -> messages.LoadReport | None:
+    ) -> member_messages.LoadReport | None:
         """Returns the report to send now, if any."""
         member = self._state.member()
         told = self._reported.setdefault(service, _Reported())
@@ -121,7 +121,7 @@
         cooled = told.keys - keys.keys() - table.key_grants.keys()
         rows = [*keys.items(), *((key, 0.0) for key in cooled), *rows]
         rows = rows[:MAX_ROWS]
-        return messages.LoadReport(
+        return member_messages.LoadReport(
             vm=self._vm,
             epoch=member.epoch,
             service=service,
@@ -129,7 +129,7 @@
             rates=tuple(round(rate) for _, rate in rows),
         )
 
-    def _send(self, report: messages.LoadReport) -> None:
+    def _send(self, report: member_messages.LoadReport) -> None:
         told = self._reported[report.service]
         members = len(self._state.assignment.members)
         size = HEADER_BYTES + ROW_BYTES * len(report.shards)
@@ -141,14 +141,14 @@
         except (errors.StoreError, errors.PeerError) as error:
             _logger.info("load not reported: %s", error)
             return
-        if isinstance(ack, messages.LoadAck):
+        if isinstance(ack, member_messages.LoadAck):
             self._note(told, report, ack)
 
     def _note(
         self,
         told: _Reported,
-        report: messages.LoadReport,
-        ack: messages.LoadAck,
+        report: member_messages.LoadReport,
+        ack: member_messages.LoadAck,
     ) -> None:
         if told.coordinator != ack.coordinator:
             told.rates.clear()
--- a/primrosecross/domain/membership.py
+++ b/primrosecross/domain/membership.py
@@ -11,7 +11,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import lease as lease_module
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
 from primrosecross.domain import office as office_module
 from primrosecross.domain import state as state_module
 from primrosecross.domain import sync as sync_module
@@ -84,14 +84,14 @@
         self._timing = timing
         self._timeline = timeline
         self._renewals: dict[str, gevent.Greenlet] = {}
-        self._confirmed: messages.Confirm | None = None
+        self._confirmed: member_messages.Confirm | None = None
         self._confirmed_ns = 0
         self._held = False
         self._changed = gevent_event.Event()
         state.subscribe(self._note_change)
         self._followed: assignment.Assignment | None = None
         self._named_by: dict[str, int] = {}
-        self.offers: tuple[messages.OfferInfo, ...] = ()
+        self.offers: tuple[member_messages.OfferInfo, ...] = ()
 
     def _note_change(self) -> None:
         self._changed.set()
@@ -155,7 +155,7 @@
         )
 
     def _join(self) -> None:
-        join = messages.Join(
+        join = member_messages.Join(
             vm=self._identity.vm,
             place=self._identity.place,
             region=self._identity.region,
@@ -211,7 +211,7 @@
         return self._state.assignment.version, self._state.plan.version
 
     def _beat(self, name: str, epoch: int) -> None:
-        heartbeat = messages.Heartbeat(
+        heartbeat = member_messages.Heartbeat(
             vm=self._identity.vm,
             incarnation=self._identity.incarnation,
             epoch=epoch,
@@ -225,7 +225,7 @@
             )
         except errors.PeerError:
             return
-        if not isinstance(ack, messages.HeartbeatAck):
+        if not isinstance(ack, member_messages.HeartbeatAck):
             return
         if ack.granted:
             self._lease.record_vote(
@@ -237,10 +237,10 @@
         self._hear(name, ack)
 
     def answer_heartbeat(
-        self, beat: messages.Heartbeat
-    ) -> messages.HeartbeatAck:
+        self, beat: member_messages.Heartbeat
+    ) -> member_messages.HeartbeatAck:
         """Votes on another member's heartbeat."""
-        ack = messages.HeartbeatAck(
+        ack = member_messages.HeartbeatAck(
             incarnation=self._identity.incarnation,
             granted=self._register.vote(beat.vm, beat.epoch),
             assignment_version=self._state.assignment.version,
@@ -250,7 +250,9 @@
         return ack
 
     def _hear(
-        self, name: str, said: messages.Heartbeat | messages.HeartbeatAck
+        self,
+        name: str,
+        said: member_messages.Heartbeat | member_messages.HeartbeatAck,
     ) -> None:
         """Fetches from a peer that said it has newer versions."""
         if self._sync.is_newer(
@@ -259,9 +261,11 @@
         ):
             gevent.spawn(self._sync.fetch_once, name)
 
-    def answer_refuse(self, refuse: messages.Refuse) -> messages.RefuseAck:
+    def answer_refuse(
+        self, refuse: member_messages.Refuse
+    ) -> member_messages.RefuseAck:
         """Stops voting for another member's epoch."""
-        return messages.RefuseAck(
+        return member_messages.RefuseAck(
             incarnation=self._identity.incarnation,
             silent_ms=self._register.refuse(refuse.vm, refuse.epoch),
         )
@@ -294,7 +298,7 @@
         if member.state is assignment.MemberState.REVOKING:
             return
         self._office.distrust(silence.vm)
-        suspect = messages.Suspect(
+        suspect = member_messages.Suspect(
             vm=silence.vm,
             epoch=silence.epoch,
             witness=self._identity.vm,
@@ -306,7 +310,7 @@
             _logger.warning("cannot report %s: %s", silence.vm, error)
 
     def _confirm(self, member: assignment.Member) -> None:
-        confirm = messages.Confirm(
+        confirm = member_messages.Confirm(
             vm=self._identity.vm,
             epoch=member.epoch,
             assignment_version=self._state.assignment.version,
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -20,19 +20,23 @@
 from primrosecross.domain import holders as holders_module
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import load_reports
+from primrosecross.domain import member_messages
 from primrosecross.domain import membership as membership_module
 from primrosecross.domain import messages
 from primrosecross.domain import meter as meter_module
 from primrosecross.domain import observer as observer_module
 from primrosecross.domain import office as office_module
 from primrosecross.domain import operations as operations_module
+from primrosecross.domain import operator_messages
 from primrosecross.domain import quarantine as quarantine_module
 from primrosecross.domain import replies
 from primrosecross.domain import request
+from primrosecross.domain import request_messages
 from primrosecross.domain import ring as ring_module
 from primrosecross.domain import router as router_module
 from primrosecross.domain import shutdown
 from primrosecross.domain import state as state_module
+from primrosecross.domain import stream_messages
 from primrosecross.domain import sync as sync_module
 from primrosecross.domain import witness
 from primrosecross.ports import archive as archive_port
@@ -207,22 +211,28 @@
         self.announced = self._announcements.take
         self._answer = functools.singledispatch(self.coordinator.handle)
         self._answer.register(
-            messages.Heartbeat, self.membership.answer_heartbeat
+            member_messages.Heartbeat, self.membership.answer_heartbeat
         )
-        self._answer.register(messages.Refuse, self.membership.answer_refuse)
-        self._answer.register(messages.FetchState, self.sync.snapshot)
-        self._answer.register(messages.Forward, self._answer_forward)
-        self._answer.register(messages.AskAnswer, self.attempts.answer_ask)
-        self._answer.register(messages.Probe, self._report)
-        self._answer.register(messages.ReadTimeline, self.collector.part)
         self._answer.register(
-            messages.NoteCrashes, self.quarantine.answer_notes
+            member_messages.Refuse, self.membership.answer_refuse
         )
+        self._answer.register(member_messages.FetchState, self.sync.snapshot)
+        self._answer.register(request_messages.Forward, self._answer_forward)
         self._answer.register(
-            messages.ListQuarantined, self.quarantine.answer_list
+            request_messages.AskAnswer, self.attempts.answer_ask
         )
+        self._answer.register(operator_messages.Probe, self._report)
         self._answer.register(
-            messages.ReleaseQuarantined, self.quarantine.answer_release
+            operator_messages.ReadTimeline, self.collector.part
+        )
+        self._answer.register(
+            request_messages.NoteCrashes, self.quarantine.answer_notes
+        )
+        self._answer.register(
+            operator_messages.ListQuarantined, self.quarantine.answer_list
+        )
+        self._answer.register(
+            operator_messages.ReleaseQuarantined, self.quarantine.answer_release
         )
 
     def handle(self, message: messages.Message) -> messages.Message:
@@ -230,9 +240,11 @@
         try:
             return self._answer(message)
         except errors.RouterError as error:
-            return messages.Failure(error.problem, error.remedy)
+            return stream_messages.Failure(error.problem, error.remedy)
 
-    def _answer_forward(self, forward: messages.Forward) -> messages.Message:
+    def _answer_forward(
+        self, forward: request_messages.Forward
+    ) -> messages.Message:
         deadline_ns = (
             self._ports.clock.now_ns()
             + forward.timeout_ms * lease_module.NS_PER_MS
@@ -252,8 +264,10 @@
         )
         return replies.reply_of(self.executor.execute(req), req.request_id)
 
-    def _report(self, _: messages.Probe) -> messages.ProbeReport:
-        return messages.ProbeReport(
+    def _report(
+        self, _: operator_messages.Probe
+    ) -> operator_messages.ProbeReport:
+        return operator_messages.ProbeReport(
             lease_held=self.lease.held(),
             plan_version=self.state.plan.version,
             assignment_version=self.state.assignment.version,
@@ -270,7 +284,7 @@
         """Offers the targets that are announced now."""
         self.executor.announced = present
         self.membership.offers = tuple(
-            messages.OfferInfo(a.service, a.slots, a.checks_generation)
+            member_messages.OfferInfo(a.service, a.slots, a.checks_generation)
             for _, a in sorted(present.items())
         )
 
--- a/primrosecross/domain/office.py
+++ b/primrosecross/domain/office.py
@@ -6,6 +6,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
+from primrosecross.domain import stream_messages
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
@@ -57,7 +58,7 @@
         """
         try:
             answer = self._ask(self._find(), message, timeout_ms)
-            if isinstance(answer, messages.Failure):
+            if isinstance(answer, stream_messages.Failure):
                 raise errors.PeerLostError(answer.problem, remedy=answer.remedy)
         except (errors.PeerError, errors.StoreError):
             self._term = None
--- a/primrosecross/domain/operations.py
+++ b/primrosecross/domain/operations.py
@@ -10,6 +10,7 @@
 from primrosecross.domain import fanout
 from primrosecross.domain import messages
 from primrosecross.domain import office as office_module
+from primrosecross.domain import operator_messages
 from primrosecross.domain import plan
 from primrosecross.domain import quarantine as quarantine_module
 from primrosecross.domain import state as state_module
@@ -65,7 +66,9 @@
         archive: archive_port.Archive,
         office: office_module.Office,
         peers: peers_port.Peers,
-        probe: Callable[[messages.Probe], messages.ProbeReport],
+        probe: Callable[
+            [operator_messages.Probe], operator_messages.ProbeReport
+        ],
         timeline: events.Timeline,
         quarantine: quarantine_module.Quarantine,
     ) -> None:
@@ -207,7 +210,7 @@
             errors.NotFoundError: No such member.
         """
         self._check_member(vm)
-        self._command(messages.Drain(vm))
+        self._command(operator_messages.Drain(vm))
 
     def undrain(self, vm: str) -> None:
         """Takes a leaving member back.
@@ -216,7 +219,7 @@
             errors.NotFoundError: No such member.
         """
         self._check_member(vm)
-        self._command(messages.Undrain(vm))
+        self._command(operator_messages.Undrain(vm))
 
     def move(self, service: str, key: str, vm: str) -> None:
         """Keeps a key at a VM, or has it balanced again if vm is empty.
@@ -234,7 +237,7 @@
                     f"{vm} offers no target of {service!r}",
                     remedy="see the targets for the VMs that do",
                 )
-        self._command(messages.Move(service, key, vm))
+        self._command(operator_messages.Move(service, key, vm))
 
     def _command(self, message: messages.Message) -> messages.Message:
         """Tells the coordinator something idempotent.
@@ -286,7 +289,7 @@
         return dataclasses.replace(view, members=members)
 
     def _ask(self, vms: list[str]) -> dict[str, fanout.Answer]:
-        probe = messages.Probe()
+        probe = operator_messages.Probe()
         answers = fanout.ask_all(
             self._peers,
             {vm: probe for vm in vms if vm != self._vm},
@@ -309,14 +312,15 @@
         """
         self._quarantine.release(fingerprint)
 
-    def confirmed(self) -> messages.Confirmed:
+    def confirmed(self) -> operator_messages.Confirmed:
         """Returns what each member last confirmed; empty if unknown."""
         try:
             answer = self._office.tell(
-                messages.ListConfirmed(), timeout_ms=COORDINATOR_TIMEOUT_MS
+                operator_messages.ListConfirmed(),
+                timeout_ms=COORDINATOR_TIMEOUT_MS,
             )
         except (errors.StoreError, errors.PeerError):
-            return messages.Confirmed("", ())
-        if isinstance(answer, messages.Confirmed):
+            return operator_messages.Confirmed("", ())
+        if isinstance(answer, operator_messages.Confirmed):
             return answer
-        return messages.Confirmed("", ())
+        return operator_messages.Confirmed("", ())
--- a/primrosecross/domain/quarantine.py
+++ b/primrosecross/domain/quarantine.py
@@ -20,9 +20,12 @@
 from primrosecross.domain import identity
 from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
+from primrosecross.domain import operator_messages
 from primrosecross.domain import outcome
 from primrosecross.domain import request
+from primrosecross.domain import request_messages
 from primrosecross.domain import state as state_module
+from primrosecross.domain import stream_messages
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 
@@ -65,7 +68,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Noted:
-    note: messages.CrashNote
+    note: request_messages.CrashNote
     at_ns: int
 
 
@@ -98,7 +101,7 @@
         self._released: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self._pending: list[messages.CrashNote] = []
+        self._pending: list[request_messages.CrashNote] = []
         self._spreading: gevent.Greenlet | None = None
         self._crashes: dict[str, tuple[str, int]] = {}
 
@@ -131,7 +134,7 @@
             req: The request that was running.
             address: Address of the target.
         """
-        note = messages.CrashNote(
+        note = request_messages.CrashNote(
             fingerprint=identity.fingerprint(req),
             service=req.service,
             key=req.key,
@@ -159,7 +162,7 @@
         while self._pending:
             gevent.sleep(GATHER_MS / 1000)
             notes, self._pending = tuple(self._pending), []
-            self._tell_all(messages.NoteCrashes(notes))
+            self._tell_all(request_messages.NoteCrashes(notes))
 
     def _tell_all(self, message: messages.Message) -> None:
         tasks = [
@@ -175,7 +178,7 @@
         except errors.PeerError:
             return
 
-    def _add(self, note: messages.CrashNote) -> None:
+    def _add(self, note: request_messages.CrashNote) -> None:
         if f"{note.fingerprint} {note.crash}" in self._released:
             return
         if len(self._notes) >= MAX_NOTES:
@@ -230,17 +233,17 @@
                 f"no request {fingerprint!r} is under suspicion",
                 remedy="list the quarantined requests for their fingerprints",
             )
-        question = messages.ReleaseQuarantined(fingerprint)
+        question = operator_messages.ReleaseQuarantined(fingerprint)
         self.answer_release(question)
         self._tell_all(question)
 
     def answer_release(
-        self, question: messages.ReleaseQuarantined
-    ) -> messages.Done:
+        self, question: operator_messages.ReleaseQuarantined
+    ) -> stream_messages.Done:
         """Takes the suspicion from a request here."""
         noted = self._notes.pop(question.fingerprint, {})
         self._forget_crashes(f"{question.fingerprint} {c}" for c in noted)
-        return messages.Done()
+        return stream_messages.Done()
 
     def _forget_crashes(self, names: collections.abc.Iterable[str]) -> None:
         for name in names:
@@ -248,13 +251,17 @@
         while len(self._released) > MAX_NOTES:
             self._released.popitem(last=False)
 
-    def answer_notes(self, told: messages.NoteCrashes) -> messages.Done:
+    def answer_notes(
+        self, told: request_messages.NoteCrashes
+    ) -> stream_messages.Done:
         """Takes in what another daemon noted."""
         for note in told.notes:
             self._add(note)
-        return messages.Done()
+        return stream_messages.Done()
 
-    def answer_list(self, _: messages.ListQuarantined) -> messages.Quarantined:
+    def answer_list(
+        self, _: operator_messages.ListQuarantined
+    ) -> operator_messages.Quarantined:
         """Tells another daemon what is noted here."""
         self.suspects()
         now_ns = self._clock.now_ns()
@@ -266,7 +273,7 @@
             for by_crash in self._notes.values()
             for noted in by_crash.values()
         )
-        return messages.Quarantined(notes, tuple(self._released))
+        return operator_messages.Quarantined(notes, tuple(self._released))
 
     def run(self) -> None:
         """Compares notes with one member at a time, so that none lacks any."""
@@ -282,15 +289,15 @@
         try:
             reply = self._peers.call(
                 random.choice(others),
-                messages.ListQuarantined(),
+                operator_messages.ListQuarantined(),
                 timeout_ms=SPREAD_TIMEOUT_MS,
             )
         except errors.PeerError:
             return
-        if not isinstance(reply, messages.Quarantined):
+        if not isinstance(reply, operator_messages.Quarantined):
             return
         self._forget_crashes(set(reply.released) - set(self._released))
         for name in reply.released:
             fingerprint, _, crash = name.partition(" ")
             self._notes.get(fingerprint, {}).pop(crash, None)
-        self.answer_notes(messages.NoteCrashes(reply.notes))
+        self.answer_notes(request_messages.NoteCrashes(reply.notes))
--- a/primrosecross/domain/replies.py
+++ b/primrosecross/domain/replies.py
@@ -4,6 +4,7 @@
 
 from primrosecross.domain import messages
 from primrosecross.domain import outcome
+from primrosecross.domain import request_messages
 
 
 @functools.singledispatch
@@ -20,14 +21,18 @@
 
 
 @outcome_of.register
-def _(reply: messages.ForwardAnswered, request_id: str) -> outcome.Outcome:
+def _(
+    reply: request_messages.ForwardAnswered, request_id: str
+) -> outcome.Outcome:
     if reply.request_id != request_id:
         return _for_another()
     return outcome.Answered(reply.status, reply.headers, reply.body)
 
 
 @outcome_of.register
-def _(reply: messages.ForwardNotRun, request_id: str) -> outcome.Outcome:
+def _(
+    reply: request_messages.ForwardNotRun, request_id: str
+) -> outcome.Outcome:
     if reply.request_id != request_id:
         return _for_another()
     return outcome.NotRun(
@@ -36,7 +41,9 @@
 
 
 @outcome_of.register
-def _(reply: messages.ForwardUnknown, request_id: str) -> outcome.Outcome:
+def _(
+    reply: request_messages.ForwardUnknown, request_id: str
+) -> outcome.Outcome:
     if reply.request_id != request_id:
         return _for_another()
     return outcome.Unknown(outcome.Reason(reply.reason), reply.detail)
@@ -56,7 +63,7 @@
 
 @reply_of.register
 def _(result: outcome.Answered, request_id: str) -> messages.Message:
-    return messages.ForwardAnswered(
+    return request_messages.ForwardAnswered(
         request_id=request_id,
         status=result.status,
         headers=result.headers,
@@ -66,7 +73,7 @@
 
 @reply_of.register
 def _(result: outcome.NotRun, request_id: str) -> messages.Message:
-    return messages.ForwardNotRun(
+    return request_messages.ForwardNotRun(
         request_id=request_id,
         reason=result.reason.value,
         detail=result.detail,
@@ -76,7 +83,7 @@
 
 @reply_of.register
 def _(result: outcome.Unknown, request_id: str) -> messages.Message:
-    return messages.ForwardUnknown(
+    return request_messages.ForwardUnknown(
         request_id=request_id,
         reason=result.reason.value,
         detail=result.detail,
--- a/primrosecross/domain/router.py
+++ b/primrosecross/domain/router.py
@@ -13,11 +13,11 @@
 from primrosecross.domain import holders
 from primrosecross.domain import identity
 from primrosecross.domain import lease as lease_module
-from primrosecross.domain import messages
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
 from primrosecross.domain import replies
 from primrosecross.domain import request
+from primrosecross.domain import request_messages
 from primrosecross.domain import resends
 from primrosecross.domain import retry
 from primrosecross.domain import state as state_module
@@ -194,7 +194,7 @@
             return outcome.NotRun(
                 outcome.Reason.DEADLINE, "the deadline passed before sending"
             )
-        message = messages.Forward(
+        message = request_messages.Forward(
             request_id=req.request_id,
             service=req.service,
             key=req.key,
--- a/primrosecross/domain/shutdown.py
+++ b/primrosecross/domain/shutdown.py
@@ -7,8 +7,8 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import lease as lease_module
-from primrosecross.domain import messages
 from primrosecross.domain import office as office_module
+from primrosecross.domain import operator_messages
 from primrosecross.domain import state as state_module
 from primrosecross.ports import clock as clock_port
 
@@ -97,7 +97,7 @@
         self._asked_ns = now_ns
         try:
             self._office.tell(
-                messages.Drain(self._vm), timeout_ms=DRAIN_TIMEOUT_MS
+                operator_messages.Drain(self._vm), timeout_ms=DRAIN_TIMEOUT_MS
             )
         except (errors.StoreError, errors.PeerError) as error:
             _logger.warning("the coordinator was not told to drain: %s", error)
--- a/primrosecross/domain/status.py
+++ b/primrosecross/domain/status.py
@@ -5,7 +5,8 @@
 from primrosecross.domain import assignment
 from primrosecross.domain import errors
 from primrosecross.domain import fanout
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
+from primrosecross.domain import operator_messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,9 +31,9 @@
     """
 
     member: assignment.Member
-    confirm: messages.Confirm | None
+    confirm: member_messages.Confirm | None
     targets: tuple[TargetView, ...]
-    report: messages.ProbeReport | None = None
+    report: operator_messages.ProbeReport | None = None
     problem: str = ""
 
     @property
@@ -85,7 +86,7 @@
 
 
 def view(
-    current: assignment.Assignment, confirmed: messages.Confirmed
+    current: assignment.Assignment, confirmed: operator_messages.Confirmed
 ) -> ClusterView:
     """Returns the cluster as the assignment and the coordinator show it."""
     confirms = {c.vm: c for c in confirmed.confirms}
@@ -115,7 +116,7 @@
 
 def _member(
     member: assignment.Member,
-    confirm: messages.Confirm | None,
+    confirm: member_messages.Confirm | None,
     owned: dict[str, dict[str, int]],
 ) -> MemberView:
     if confirm is not None and confirm.epoch != member.epoch:
@@ -152,7 +153,7 @@
 
 def with_answer(member: MemberView, answer: fanout.Answer) -> MemberView:
     """Returns the view of a member that was asked."""
-    if isinstance(answer, messages.ProbeReport):
+    if isinstance(answer, operator_messages.ProbeReport):
         return dataclasses.replace(member, report=answer)
     if isinstance(answer, errors.PeerError):
         return dataclasses.replace(member, problem=answer.problem)
--- a/primrosecross/domain/sync.py
+++ b/primrosecross/domain/sync.py
@@ -10,7 +10,7 @@
 
 from primrosecross.domain import delta as delta_module
 from primrosecross.domain import errors
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
 from primrosecross.domain import state as state_module
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import peers as peers_port
@@ -71,13 +71,13 @@
         """
         if self._waits_for_seeds and not self._started:
             return False
-        question = messages.FetchState(
+        question = member_messages.FetchState(
             assignment_version=self._state.assignment.version,
             plan_version=self._state.plan.version,
         )
         try:
             answer = self._peers.call(vm, question, timeout_ms=FETCH_TIMEOUT_MS)
-            if not isinstance(answer, messages.StateSnapshot):
+            if not isinstance(answer, member_messages.StateSnapshot):
                 return False
             self._accept(answer)
         except (errors.PeerError, errors.StoreObjectError) as error:
@@ -85,7 +85,7 @@
             return False
         return True
 
-    def _accept(self, snapshot: messages.StateSnapshot) -> None:
+    def _accept(self, snapshot: member_messages.StateSnapshot) -> None:
         if snapshot.plan:
             self._state.offer_plan(self._codec.decode_plan(snapshot.plan))
         if snapshot.assignment:
@@ -98,7 +98,9 @@
             if newer is not None:
                 self._state.offer_assignment(newer)
 
-    def snapshot(self, question: messages.FetchState) -> messages.StateSnapshot:
+    def snapshot(
+        self, question: member_messages.FetchState
+    ) -> member_messages.StateSnapshot:
         """Answers a peer's question for newer state."""
         plan = b""
         assignment = b""
@@ -111,7 +113,7 @@
             not delta
         ):
             assignment = self._codec.encode_assignment(self._state.assignment)
-        return messages.StateSnapshot(
+        return member_messages.StateSnapshot(
             plan=plan, assignment=assignment, delta=delta
         )
 
@@ -193,8 +195,10 @@
         self._started = True
         return True
 
-    def _ask_seed(self, address: str) -> messages.StateSnapshot | None:
-        question = messages.FetchState(assignment_version=0, plan_version=0)
+    def _ask_seed(self, address: str) -> member_messages.StateSnapshot | None:
+        question = member_messages.FetchState(
+            assignment_version=0, plan_version=0
+        )
         self._peers.learn_address(address, address)
         try:
             answer = self._peers.call(
@@ -203,7 +207,7 @@
         except errors.PeerError as error:
             _logger.warning("no state from seed %s: %s", address, error)
             return None
-        if not isinstance(answer, messages.StateSnapshot):
+        if not isinstance(answer, member_messages.StateSnapshot):
             return None
         return answer if answer.assignment else None  # It knows nothing itself.
 
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -17,11 +17,13 @@
 from primrosecross.domain import lease
 from primrosecross.domain import load_reports
 from primrosecross.domain import messages
+from primrosecross.domain import operator_messages
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
 from primrosecross.domain import quarantine
 from primrosecross.domain import replies
 from primrosecross.domain import request
+from primrosecross.domain import request_messages
 from primrosecross.domain import router
 from primrosecross.domain import stamp
 from primrosecross.domain import state
@@ -216,17 +218,19 @@
         )
         handle = functools.singledispatch(_unexpected)
         handle.register(
-            messages.Forward, functools.partial(self._execute, runner)
+            request_messages.Forward, functools.partial(self._execute, runner)
+        )
+        handle.register(request_messages.AskAnswer, tried.answer_ask)
+        handle.register(request_messages.NoteCrashes, suspects.answer_notes)
+        handle.register(operator_messages.ListQuarantined, suspects.answer_list)
+        handle.register(
+            operator_messages.ReleaseQuarantined, suspects.answer_release
         )
-        handle.register(messages.AskAnswer, tried.answer_ask)
-        handle.register(messages.NoteCrashes, suspects.answer_notes)
-        handle.register(messages.ListQuarantined, suspects.answer_list)
-        handle.register(messages.ReleaseQuarantined, suspects.answer_release)
         self.peers.handlers[name] = handle
         return Vm(name, present, targets, runner, entry, suspects)
 
     def _execute(
-        self, runner: executor.Executor, forward: messages.Forward
+        self, runner: executor.Executor, forward: request_messages.Forward
     ) -> messages.Message:
         fields = {
             f.name: getattr(forward, f.name)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -7,7 +7,8 @@
 from primrosecross.domain import assignment
 from primrosecross.domain import balance
 from primrosecross.domain import decisions
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
+from primrosecross.domain import operator_messages
 from primrosecross.domain import witness_choice
 from tests import assignments
 from tests import fakes
@@ -140,7 +141,7 @@
 
     def release(self, generation: int) -> int:
         return self.apply(
-            messages.Release(
+            member_messages.Release(
                 vm="vm-2",
                 epoch=1,
                 service=assignments.SERVICE,
@@ -191,7 +192,7 @@
         return any(
             [
                 self.balancer.take_report(
-                    messages.LoadReport(
+                    member_messages.LoadReport(
                         vm=vm,
                         epoch=1,
                         service=assignments.SERVICE,
@@ -282,7 +283,7 @@
             for vm in self.present.members
             if vm != self.table.grant_of(self.table.shard_of(key)).vm
         )
-        pin = messages.Move(assignments.SERVICE, key, vm)
+        pin = operator_messages.Move(assignments.SERVICE, key, vm)
         self.assertEqual(self.apply(pin), 1)
         self.settle()
         self.assertEqual(self.table.grant_of(shard).vm, vm)
--- a/tests/test_fuzz_transport.py
+++ b/tests/test_fuzz_transport.py
@@ -20,13 +20,14 @@
 from primrosecross.domain import outcome
 from primrosecross.domain import stamp
 from primrosecross.domain import state as state_module
+from primrosecross.domain import stream_messages
 from tests import test_transport_peers
 
 SETTINGS = hypothesis.settings(
     derandomize=True, max_examples=300, deadline=None
 )
 MAX_GROWTH_BYTES = 4 << 20
-HELLO = messages.Hello(2, "c", "vm", "i", "control")
+HELLO = stream_messages.Hello(2, "c", "vm", "i", "control")
 SCALARS = (
     strategies.none()
     | strategies.booleans()
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -11,9 +11,11 @@
 from primrosecross.domain import lease
 from primrosecross.domain import load
 from primrosecross.domain import load_reports
+from primrosecross.domain import member_messages
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
 from primrosecross.domain import state
+from primrosecross.domain import stream_messages
 from tests import assignments
 from tests import fakes
 
@@ -33,9 +35,9 @@
     ) -> messages.Message:
         del timeout_ms
         self.told.append(message)
-        if isinstance(message, messages.LoadReport):
-            return messages.LoadAck(coordinator="vm-1/1", hot_rate=100)
-        return messages.Done()
+        if isinstance(message, member_messages.LoadReport):
+            return member_messages.LoadAck(coordinator="vm-1/1", hot_rate=100)
+        return stream_messages.Done()
 
 
 class OwnerCase(unittest.TestCase):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -19,9 +19,11 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import lease
+from primrosecross.domain import member_messages
 from primrosecross.domain import messages
 from primrosecross.domain import meter
 from primrosecross.domain import operations
+from primrosecross.domain import operator_messages
 from primrosecross.domain import outcome
 from primrosecross.domain import plan
 from primrosecross.domain import quarantine
@@ -152,8 +154,8 @@
         for shard, vm in enumerate(("a", "a", "a", "b")):
             table.set_owner(shard, vm, 1)
         current = assignment.Assignment(1, members, {"s": table})
-        stale = messages.Confirm("b", 0, 1, 7, ())
-        view = status.view(current, messages.Confirmed("a", (stale,)))
+        stale = member_messages.Confirm("b", 0, 1, 7, ())
+        view = status.view(current, operator_messages.Confirmed("a", (stale,)))
         self.assertAlmostEqual(view.services[0].imbalance, 1.5)
         self.assertEqual([m.shards for m in view.members], [3, 1])
         self.assertEqual(view.members[1].plan_version, 0)
@@ -336,7 +338,7 @@
 
     def test_garbled_frame_is_not_repeated(self):
         frame = peer_codec.encode(
-            peer_codec.Frame(1, False, 1, messages.Drain([MARK]))
+            peer_codec.Frame(1, False, 1, operator_messages.Drain([MARK]))
         )
         with self.assertRaises(errors.PeerProtocolError) as caught:
             list(peer_codec.Decoder().feed(frame))
--- a/tests/test_ownership_coordinator.py
+++ b/tests/test_ownership_coordinator.py
@@ -7,7 +7,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import lease
-from primrosecross.domain import messages
+from primrosecross.domain import operator_messages
 from primrosecross.domain import stamp
 from tests import fakes
 from tests import test_ownership_decisions
@@ -82,11 +82,11 @@
         members = {"a": test_ownership_decisions.member("a")}
         self.archive.stored = assignment.Assignment(2, members)
         self.coordinator._decide()
-        self.coordinator.handle(messages.Drain("a"))
+        self.coordinator.handle(operator_messages.Drain("a"))
         self.election.term_number = 3
         self.coordinator._decide()
         self.assertEqual(self.archive.writes, 0)
-        self.coordinator.handle(messages.Drain("a"))
+        self.coordinator.handle(operator_messages.Drain("a"))
         self.coordinator._decide()
         self.assertEqual(
             self.archive.stored.members["a"].state,
--- a/tests/test_ownership_decisions.py
+++ b/tests/test_ownership_decisions.py
@@ -5,7 +5,7 @@
 
 from primrosecross.domain import assignment
 from primrosecross.domain import decisions
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
 from primrosecross.domain import witness_sets
 
 SERVICE = "rezervace"
@@ -44,8 +44,8 @@
         draft.assignment.version += 1
         return draft
 
-    def _release(self, generation: int) -> messages.Release:
-        return messages.Release("a", 2, SERVICE, (0,), (generation,))
+    def _release(self, generation: int) -> member_messages.Release:
+        return member_messages.Release("a", 2, SERVICE, (0,), (generation,))
 
     def _table(self, draft: decisions.Draft) -> assignment.OwnerTable:
         return draft.assignment.tables[SERVICE]
@@ -64,7 +64,7 @@
         changed = member("a", previous_witnesses=("u", "v", "w"))
         self.stored.members["a"] = changed
         draft = self._draft()
-        early = messages.Confirm("a", 2, 4, 1, ("x", "y", "z"))
+        early = member_messages.Confirm("a", 2, 4, 1, ("x", "y", "z"))
         self.assertEqual(decisions.apply(early, draft), 0)
         late = dataclasses.replace(early, assignment_version=5)
         self.assertEqual(decisions.apply(late, draft), 1)
@@ -72,14 +72,18 @@
 
     def test_second_daemon_of_a_name_does_not_displace_the_first(self):
         draft = self._draft()
-        join = messages.Join("a", "place-a", "r", "127.0.0.1:2", "a-2", ())
+        join = member_messages.Join(
+            "a", "place-a", "r", "127.0.0.1:2", "a-2", ()
+        )
         self.assertEqual(decisions.apply(join, draft), 0)
         self.assertEqual(draft.assignment.members["a"], member("a"))
 
     def test_rejoining_vm_gets_its_shards_under_a_new_generation(self):
         draft = self._draft()
         decisions.apply(decisions.Lapsed("a", 2), draft)
-        join = messages.Join("a", "place-a", "r", "127.0.0.1:2", "a-2", ())
+        join = member_messages.Join(
+            "a", "place-a", "r", "127.0.0.1:2", "a-2", ()
+        )
         decisions.apply(join, draft)
         self.assertEqual(draft.assignment.members["a"].epoch, 6)
         self.assertEqual(
--- a/tests/test_ownership_election.py
+++ b/tests/test_ownership_election.py
@@ -7,6 +7,8 @@
 from primrosecross.domain import errors
 from primrosecross.domain import messages
 from primrosecross.domain import office
+from primrosecross.domain import operator_messages
+from primrosecross.domain import stream_messages
 from primrosecross.ports import archive
 from tests import fakes
 from tests import test_ownership_decisions
@@ -67,7 +69,7 @@
         """Answers, unless the peer is lost."""
         if vm in self.lost:
             raise errors.PeerLostError("lost", remedy="wait")
-        return messages.Done()
+        return stream_messages.Done()
 
 
 class OfficeTest(unittest.TestCase):
@@ -82,7 +84,7 @@
         )
 
     def _tell(self) -> None:
-        self.office.tell(messages.ListConfirmed(), timeout_ms=100)
+        self.office.tell(operator_messages.ListConfirmed(), timeout_ms=100)
 
     def test_coordinator_is_looked_up_once(self):
         for _ in range(10):
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -14,7 +14,7 @@
 from primrosecross.domain import assignment
 from primrosecross.domain import decisions
 from primrosecross.domain import lease
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
 from primrosecross.domain import revocation
 from primrosecross.domain import witness
 from primrosecross.domain import witness_sets
@@ -234,7 +234,7 @@
         if self.store_down_until_ms > self.now_ms:
             return
         process.learn(self.stored)
-        join = messages.Join(
+        join = member_messages.Join(
             vm=process.vm,
             place=self.place(process.vm),
             region="r",
@@ -292,7 +292,7 @@
     def _confirm(self, process: Process, member: assignment.Member) -> None:
         if not member.previous_witnesses:
             return
-        confirm = messages.Confirm(
+        confirm = member_messages.Confirm(
             vm=process.vm,
             epoch=member.epoch,
             assignment_version=process.view.version,
@@ -308,7 +308,7 @@
         )
         if not shards or member.epoch != process.lease.epoch:
             return
-        release = messages.Release(
+        release = member_messages.Release(
             vm=process.vm,
             epoch=member.epoch,
             service=SERVICE,
--- a/tests/test_ownership_store.py
+++ b/tests/test_ownership_store.py
@@ -7,6 +7,7 @@
 from primrosecross.domain import assignment
 from primrosecross.domain import errors
 from primrosecross.domain import events
+from primrosecross.domain import member_messages
 from primrosecross.domain import messages
 from primrosecross.domain import plan
 from primrosecross.domain import stamp
@@ -49,9 +50,9 @@
         if version is None:
             raise errors.PeerUnsentError("down", remedy="start it")
         if not version:
-            return messages.StateSnapshot(plan=b"", assignment=b"")
+            return member_messages.StateSnapshot(plan=b"", assignment=b"")
         found = assignment.Assignment(version=version)
-        return messages.StateSnapshot(
+        return member_messages.StateSnapshot(
             plan=b"", assignment=CODEC.encode_assignment(found)
         )
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,10 +3,11 @@
 import unittest
 
 from primrosecross.domain import errors
-from primrosecross.domain import messages
+from primrosecross.domain import operator_messages
 from primrosecross.domain import outcome
 from primrosecross.domain import quarantine
 from primrosecross.domain import request
+from primrosecross.domain import request_messages
 from tests import request_fakes
 
 LOST = outcome.Unknown(outcome.Reason.ANSWER_LOST, "")
@@ -110,7 +111,7 @@
         for via in "ab":
             self._send(via)
         known = self.cluster.vms["c"].quarantine
-        told = known.answer_list(messages.ListQuarantined())
+        told = known.answer_list(operator_messages.ListQuarantined())
         known.release(told.notes[0].fingerprint)
-        known.answer_notes(messages.NoteCrashes(told.notes))
+        known.answer_notes(request_messages.NoteCrashes(told.notes))
         self.assertEqual(known.suspects(), [])
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -12,6 +12,7 @@
 from primrosecross.domain import messages
 from primrosecross.domain import outcome
 from primrosecross.domain import replies
+from primrosecross.domain import request_messages
 from primrosecross.domain import retry
 from tests import fakes
 from tests import request_fakes
@@ -188,7 +189,7 @@
         self.cluster.give("b")
         self.b.router.route(self.cluster.request())
         self.cluster.peers.handlers["a"](
-            messages.AskAnswer(
+            request_messages.AskAnswer(
                 request_id="late",
                 service="rezervace",
                 key="k",
@@ -246,7 +247,7 @@
         self.assertGreater(wrong, 100)
 
     def test_refusal_of_an_unread_request_names_it(self):
-        forward = messages.Forward(
+        forward = request_messages.Forward(
             request_id="r",
             service="s",
             key="k",
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -11,9 +11,9 @@
 from primrosecross.domain import assignment
 from primrosecross.domain import collector
 from primrosecross.domain import events
-from primrosecross.domain import messages
 from primrosecross.domain import meter
 from primrosecross.domain import observer
+from primrosecross.domain import operator_messages
 from primrosecross.domain import outcome
 from primrosecross.domain import stamp
 from primrosecross.domain import state
@@ -169,7 +169,9 @@
 
     def test_part_of_the_time_line_is_asked_for_by_message(self):
         part = self.other.collector.part(
-            messages.ReadTimeline(messages.EventCursor("b", "", 0), 5)
+            operator_messages.ReadTimeline(
+                operator_messages.EventCursor("b", "", 0), 5
+            )
         )
         self.assertEqual((part.cursor.vm, part.events), ("b", ()))
 
--- a/tests/test_transport_bodies.py
+++ b/tests/test_transport_bodies.py
@@ -15,7 +15,8 @@
 from primrosecross.adapters import peer_connection
 from primrosecross.domain import body
 from primrosecross.domain import errors
-from primrosecross.domain import messages
+from primrosecross.domain import request_messages
+from primrosecross.domain import stream_messages
 from tests import test_transport_peers
 
 LONG_BYTES = 3 << 20
@@ -44,16 +45,18 @@
 
     def handle(self, message):
         if message.path.startswith("/refuse"):
-            return messages.ForwardNotRun("id", "overloaded", "", 0)
+            return request_messages.ForwardNotRun("id", "overloaded", "", 0)
         if message.path.startswith("/long"):
-            return messages.ForwardAnswered("id", 200, (), self.answer)
+            return request_messages.ForwardAnswered("id", 200, (), self.answer)
         if message.path.startswith("/slow"):
             gevent.sleep(1.0)
         try:
             self.received = sum(len(p) for p in body.pieces(message.body))
         except errors.BodyError as error:
-            return messages.ForwardUnknown("id", "answer-lost", str(error))
-        return messages.ForwardAnswered("id", 200, (), b"")
+            return request_messages.ForwardUnknown(
+                "id", "answer-lost", str(error)
+            )
+        return request_messages.ForwardAnswered("id", 200, (), b"")
 
     def test_both_directions_arrive_whole(self):
         self.call("/", MadeStream(LONG_BYTES))
@@ -66,7 +69,7 @@
 
     def test_cut_bodies_fail_their_reader(self):
         answer = self.call("/", MadeStream(LONG_BYTES, cut_at=LONG_BYTES // 2))
-        self.assertIsInstance(answer, messages.ForwardUnknown)
+        self.assertIsInstance(answer, request_messages.ForwardUnknown)
         self.answer = MadeStream(LONG_BYTES, cut_at=LONG_BYTES // 2)
         answer = self.call("/long")
         with self.assertRaises(errors.BodyError):
@@ -76,7 +79,7 @@
         stream = peer_body.Incoming(4)
         stream.feed(b"ab")
         stream.feed(b"cd")
-        stream.end(messages.StreamEnd(4, 1, ""))
+        stream.end(stream_messages.StreamEnd(4, 1, ""))
         with self.assertRaises(errors.BodyError):
             list(body.pieces(stream))
 
@@ -104,7 +107,7 @@
             for n in range(peer_connection.MAX_STREAMS)
         )
         answer = self.call("/", MadeStream(LONG_BYTES))
-        self.assertIsInstance(answer, messages.ForwardNotRun)
+        self.assertIsInstance(answer, request_messages.ForwardNotRun)
 
     def test_reader_that_leaves_stops_the_sender(self):
         self.answer = MadeStream(64 << 20)
--- a/tests/test_transport_path.py
+++ b/tests/test_transport_path.py
@@ -18,6 +18,7 @@
 from primrosecross.domain import plan
 from primrosecross.domain import replies
 from primrosecross.domain import request
+from primrosecross.domain import request_messages
 from primrosecross.domain import stamp
 from primrosecross.domain import state as state_module
 from primrosecross.models import plan as plan_model
@@ -101,7 +102,7 @@
     def plan(self) -> plan.Plan:
         return plan_model.parse(PLAN.read_bytes(), version=1, author="test")
 
-    def execute(self, forward: messages.Forward) -> messages.Message:
+    def execute(self, forward: request_messages.Forward) -> messages.Message:
         req = request.Request(
             request_id="id",
             service=SERVICE,
--- a/tests/test_transport_peers.py
+++ b/tests/test_transport_peers.py
@@ -13,8 +13,10 @@
 from primrosecross.adapters import peer_streams
 from primrosecross.domain import body
 from primrosecross.domain import errors
-from primrosecross.domain import messages
+from primrosecross.domain import member_messages
+from primrosecross.domain import request_messages
 from primrosecross.domain import stamp
+from primrosecross.domain import stream_messages
 
 GIVEN_UP_S = 2.0
 
@@ -32,7 +34,9 @@
 
 def make_peer(vm: str, port: int, recorded: list) -> peer_streams.PeerStreams:
     """Returns a listening peer."""
-    hello = messages.Hello(peer_streams.PROTOCOL, "test", vm, vm, "control")
+    hello = stream_messages.Hello(
+        peer_streams.PROTOCOL, "test", vm, vm, "control"
+    )
     peer = peer_streams.PeerStreams(
         hello=hello,
         listen=("127.0.0.1", port),
@@ -45,9 +49,9 @@
 
 def make_forward(
     path: str, content: body.Body = b"", timeout_ms: int = 5000
-) -> messages.Forward:
+) -> request_messages.Forward:
     """Returns a request for a handler of these tests."""
-    return messages.Forward(
+    return request_messages.Forward(
         request_id="id",
         service="s",
         key="k",
@@ -122,14 +126,14 @@
         self.addCleanup(self.right.stop)
 
     def handle(self, message):
-        if not isinstance(message, messages.Forward):
-            return messages.Done()
+        if not isinstance(message, request_messages.Forward):
+            return stream_messages.Done()
         self.handled.append(message.path)
         try:
             delay_ms = int(message.path.rpartition("/")[2] or 0)
             gevent.sleep(delay_ms / 1000)
             content = b"".join(body.pieces(message.body))
-            return messages.ForwardAnswered(
+            return request_messages.ForwardAnswered(
                 message.request_id, 200, (), content
             )
         finally:
@@ -157,7 +161,7 @@
         with self.assertRaises(errors.PeerLostError):
             self.call("/1", timeout_ms=10_000)
         self.assertLess(time.monotonic() - started, GIVEN_UP_S)
-        self.assertIsInstance(self.call("/2"), messages.ForwardAnswered)
+        self.assertIsInstance(self.call("/2"), request_messages.ForwardAnswered)
         self.assertNotIn("/1", self.handled)
         kinds = [(e.vm, e.lane, e.calls_lost) for e in self.recorded]
         self.assertIn(("right", "requests", 1), kinds)
@@ -171,7 +175,7 @@
     def test_unsent_message_is_proved_unsent(self):
         self.call("/0")
         self.relay.go_silent()
-        link = self.left._links["right", messages.Lane.REQUESTS]
+        link = self.left._links["right", stream_messages.Lane.REQUESTS]
         link.connection._send = lambda batch: gevent.sleep(10)
         first = gevent.spawn(self.loses, "/1")
         gevent.sleep(0.1)
@@ -184,8 +188,10 @@
         self.relay.go_silent()
         lost = gevent.spawn(self.loses, "/1")
         self.assertEqual(
-            self.left.call("right", messages.FetchState(0, 0), timeout_ms=500),
-            messages.Done(),
+            self.left.call(
+                "right", member_messages.FetchState(0, 0), timeout_ms=500
+            ),
+            stream_messages.Done(),
         )
         self.assertTrue(lost.get())
 
@@ -210,8 +216,8 @@
     def test_duplicate_answers_are_dropped_and_counted(self):
         self.call("/0")
         accepted = next(iter(self.right._accepted))
-        accepted._post(1, messages.Done(), is_answer=True)
-        accepted._post(99, messages.Done(), is_answer=True)
+        accepted._post(1, stream_messages.Done(), is_answer=True)
+        accepted._post(99, stream_messages.Done(), is_answer=True)
         self.assertEqual(self.call("/0", b"mine").body, b"mine")
         self.assertEqual(self.left.counts["answers_late"], 2)
 
@@ -236,18 +242,18 @@
 
     def fails(self, vm: str) -> bool:
         try:
-            self.left.call(vm, messages.Ping(), timeout_ms=30_000)
+            self.left.call(vm, stream_messages.Ping(), timeout_ms=30_000)
         except errors.PeerUnsentError:
             return True
         return False
 
     def test_both_directions_at_once(self):
         self.right.learn_address("left", f"127.0.0.1:{self.left_port()}")
-        self.left.handler = lambda message: messages.Done()
+        self.left.handler = lambda message: stream_messages.Done()
         tasks = [gevent.spawn(self.call, "/0", b"x") for _ in range(20)]
         tasks += [
             gevent.spawn(
-                self.right.call, "left", messages.Ping(), timeout_ms=1000
+                self.right.call, "left", stream_messages.Ping(), timeout_ms=1000
             )
             for _ in range(20)
         ]
--- a/tests/test_transport_tls.py
+++ b/tests/test_transport_tls.py
@@ -17,8 +17,10 @@
 from primrosecross.adapters import peer_streams
 from primrosecross.adapters import peer_tls
 from primrosecross.domain import errors
+from primrosecross.domain import member_messages
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
+from primrosecross.domain import stream_messages
 from tests import test_transport_peers
 
 NOW = datetime.datetime.now(datetime.UTC)
@@ -84,7 +86,7 @@
         self.cluster = self.authority()
         self.port = test_transport_peers.peer_port(29400)
         self.right = self.peer("right", self.cluster.issue("right"), self.port)
-        self.right.handler = lambda message: messages.Done()
+        self.right.handler = lambda message: stream_messages.Done()
 
     def authority(self) -> Authority:
         directory = tempfile.TemporaryDirectory()
@@ -92,7 +94,9 @@
         return Authority(pathlib.Path(directory.name))
 
     def peer(self, vm: str, files, port: int = 0) -> peer_streams.PeerStreams:
-        hello = messages.Hello(peer_streams.PROTOCOL, "test", vm, vm, "control")
+        hello = stream_messages.Hello(
+            peer_streams.PROTOCOL, "test", vm, vm, "control"
+        )
         peer = peer_streams.PeerStreams(
             hello=hello,
             listen=("127.0.0.1", port),
@@ -105,7 +109,9 @@
         return peer
 
     def call(self, peer: peer_streams.PeerStreams) -> messages.Message:
-        return peer.call("right", messages.FetchState(0, 0), timeout_ms=3000)
+        return peer.call(
+            "right", member_messages.FetchState(0, 0), timeout_ms=3000
+        )
 
     def assert_refused(self, peer: peer_streams.PeerStreams) -> None:
         with self.assertRaises(errors.PeerError):
@@ -114,9 +120,9 @@
 
     def test_members_of_the_cluster_talk_and_keep_talking(self):
         left = self.peer("left", self.cluster.issue("left"))
-        self.assertEqual(self.call(left), messages.Done())
+        self.assertEqual(self.call(left), stream_messages.Done())
         gevent.sleep(2.0)
-        self.assertEqual(self.call(left), messages.Done())
+        self.assertEqual(self.call(left), stream_messages.Done())
         self.assertEqual(len(self.right._accepted), 1)
 
     def test_strangers_are_refused(self):
@@ -131,7 +137,7 @@
         os.replace(renewed.key, old.file.with_name("right.key"))
         old.file.write_bytes(new.file.read_bytes())
         left = self.peer("left", new.issue("left"))
-        self.assertEqual(self.call(left), messages.Done())
+        self.assertEqual(self.call(left), stream_messages.Done())
         left.stop()
         with self.assertRaises(errors.PeerError):
             self.call(self.peer("late", old.issue("late")))
@@ -140,7 +146,7 @@
         left = self.peer("left", self.cluster.issue("left"))
         self.cluster.file.with_name("right.pem").write_text("half a file")
         with self.assertLogs("primrosecross", "ERROR"):
-            self.assertEqual(self.call(left), messages.Done())
+            self.assertEqual(self.call(left), stream_messages.Done())
 
 
 if __name__ == "__main__":
