Move writing of a connection's frames to a module of its own

Change: peer_writer.py gathers and sends; the connection greets, reads and keeps calls. Behaviour is unchanged. The test that stops a connection's sends reaches them at their new place.

--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -8,7 +8,7 @@
 import grpc
 
 from primrosecross.adapters import operator_access
-from primrosecross.adapters import peer_connection
+from primrosecross.adapters import peer_writer
 from primrosecross.domain import assignment
 from primrosecross.domain import collector as collector_module
 from primrosecross.domain import errors
@@ -75,7 +75,7 @@
         state: state_module.State,
         lease: lease_module.Lease,
         store_calls: Callable[[], int],
-        traffic: peer_connection.Traffic,
+        traffic: peer_writer.Traffic,
         metrics: Callable[[], bytes],
     ) -> None:
         self._vm = vm
--- a/primrosecross/adapters/peer_connection.py
+++ b/primrosecross/adapters/peer_connection.py
@@ -6,7 +6,6 @@
 
 import collections
 import contextlib
-import dataclasses
 import functools
 import logging
 import socket
@@ -19,6 +18,7 @@
 from primrosecross.adapters import peer_body
 from primrosecross.adapters import peer_call
 from primrosecross.adapters import peer_codec
+from primrosecross.adapters import peer_writer
 from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import messages
@@ -31,7 +31,6 @@
 MISSED_PINGS = 3
 UNUSED_LOOKS = 3
 RECEIVE_BYTES = 256 * 1024
-SEND_BYTES = 128 * 1024
 MAX_ANSWERING = 2048
 MAX_STREAMS = 64
 MAX_QUEUED = 8192
@@ -40,14 +39,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(slots=True)
-class Traffic:
-    """Bytes over all peer connections of this daemon."""
-
-    sent_bytes: int = 0
-    received_bytes: int = 0
-
-
 class Connection:
     """One connection to another daemon.
 
@@ -70,7 +61,7 @@
         handler: peers_port.Handler,
         stamps: stamp.StampClock,
         counts: collections.Counter[str],
-        traffic: Traffic,
+        traffic: peer_writer.Traffic,
         accepted: bool = False,
         names: frozenset[str] | None = None,
     ) -> None:
@@ -83,11 +74,9 @@
         self._stamps = stamps
         self._counts = counts
         self._decoder = peer_codec.Decoder()
-        self._pending: list[tuple[bytes, peer_call.Call | None]] = []
-        self._turns: collections.deque[tuple[int, bool, peer_body.Outgoing]] = (
-            collections.deque()
+        self._writer = peer_writer.Writer(
+            sock=sock, stamps=stamps, traffic=traffic, failed=self._close
         )
-        self._writer: gevent.Greenlet | None = None
         self._calls: dict[int, peer_call.Call] = {}
         self._answering: dict[int, gevent.Greenlet] = {}
         self._incoming: dict[tuple[int, bool], peer_body.Incoming] = {}
@@ -124,8 +113,7 @@
             _logger.info("peer connection ended: %s", error)
         finally:
             self._close()
-            if self._writer is not None:
-                self._writer.kill(block=False)
+            self._writer.stop()
 
     def _read(self) -> None:
         while data := self._sock.recv(RECEIVE_BYTES):
@@ -322,8 +310,7 @@
         self, call: int, is_answer: bool, source: body.Stream
     ) -> peer_body.Outgoing:
         def offer(offering: peer_body.Outgoing) -> None:
-            self._turns.append((call, is_answer, offering))
-            self._wake_writer()
+            self._writer.offer(call, is_answer, offering)
 
         outgoing = peer_body.Outgoing(source=source, offer=offer)
         self._outgoing[call, is_answer] = outgoing
@@ -340,58 +327,7 @@
         waiting: peer_call.Call | None = None,
     ) -> None:
         if not self.closed:
-            data = self._encode(call, is_answer, message)
-            self._pending.append((data, waiting))
-            self._wake_writer()
-
-    def _encode(
-        self, call: int, is_answer: bool, message: messages.Message
-    ) -> bytes:
-        return peer_codec.encode(
-            peer_codec.Frame(call, is_answer, self._stamps.now(), message)
-        )
-
-    def _wake_writer(self) -> None:
-        """Starts a writer unless one runs; idle connections have none."""
-        if self._writer is None:
-            self._writer = gevent.spawn(self._write)
-
-    def _write(self) -> None:
-        """Sends what is ready, gathered, until nothing is left."""
-        try:
-            while batch := self._gather():
-                self._send(batch)
-        except OSError:
-            self._close()
-        finally:
-            self._writer = None
-
-    def _gather(self) -> list[bytes]:
-        """Returns all short frames and a piece of each stream in turn."""
-        batch = []
-        size = 0
-        pending, self._pending = self._pending, []
-        for data, call in pending:
-            if call is not None:
-                if call.abandoned:
-                    continue
-                call.sent = True
-            batch.append(data)
-        for _ in range(len(self._turns)):
-            if size >= SEND_BYTES:
-                break
-            number, is_answer, outgoing = self._turns.popleft()
-            message = outgoing.take()
-            if message is not None:
-                batch.append(self._encode(number, is_answer, message))
-                size += peer_body.PIECE_BYTES
-        return batch
-
-    def _send(self, batch: list[bytes]) -> None:
-        view = memoryview(b"".join(batch))
-        self._traffic.sent_bytes += len(view)
-        while view:
-            view = view[self._sock.send(view, 0, None) :]
+            self._writer.post(call, message, is_answer, waiting)
 
     def call(
         self, message: messages.Message, *, timeout_ms: int
@@ -404,7 +340,7 @@
             errors.PeerUnsentError: No byte of the message has left.
             errors.PeerLostError: No answer came in time.
         """
-        if self.closed or len(self._pending) >= MAX_QUEUED:
+        if self.closed or self._writer.queued >= MAX_QUEUED:
             raise errors.PeerUnsentError(
                 "the connection has ended or is not read from",
                 remedy="retry on another one",
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peer_streams.py
@@ -14,6 +14,7 @@
 
 from primrosecross.adapters import peer_connection
 from primrosecross.adapters import peer_tls
+from primrosecross.adapters import peer_writer
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import messages
@@ -88,7 +89,7 @@
     ) -> None:
         self._tls = tls
         self._stamps = stamps
-        self.traffic = peer_connection.Traffic()
+        self.traffic = peer_writer.Traffic()
         self._hello = hello
         self._record = record
         self._addresses: dict[str, str] = {}
--- a/tests/test_transport_peers.py
+++ b/tests/test_transport_peers.py
@@ -176,7 +176,7 @@
         self.call("/0")
         self.relay.go_silent()
         link = self.left._links["right", stream_messages.Lane.REQUESTS]
-        link.connection._send = lambda batch: gevent.sleep(10)
+        link.connection._writer._send = lambda batch: gevent.sleep(10)
         first = gevent.spawn(self.loses, "/1")
         gevent.sleep(0.1)
         with self.assertRaises(errors.PeerUnsentError):
