--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -83,9 +83,18 @@
         self._ports = ports
         self._vm = identity.vm
         self._timeline = timeline
-        vm = identity.vm
-        clock = ports.clock
-        self.state = state_module.State(vm=vm, timeline=timeline)
+        self._make_state(timing)
+        self._make_ownership(identity, timing)
+        self._make_requests()
+        self._make_operations(identity)
+        self._answer = self._make_handlers()
+
+    def _make_state(self, timing: lease_module.LeaseTiming) -> None:
+        """Makes what all other parts rest on."""
+        vm = self._vm
+        clock = self._ports.clock
+        ports = self._ports
+        self.state = state_module.State(vm=vm, timeline=self._timeline)
         self.lease = lease_module.Lease(clock=clock, timing=timing)
         self.sync = sync_module.Sync(
             state=self.state,
@@ -99,6 +108,16 @@
         self.office = office_module.Office(
             vm=vm, archive=ports.archive, peers=ports.peers, clock=clock
         )
+
+    def _make_ownership(
+        self,
+        identity: membership_module.Identity,
+        timing: lease_module.LeaseTiming,
+    ) -> None:
+        """Makes membership, election and the coordinator."""
+        vm = self._vm
+        clock = self._ports.clock
+        ports = self._ports
         self.membership = membership_module.Membership(
             identity=identity,
             state=self.state,
@@ -109,7 +128,7 @@
             register=witness.WitnessRegister(clock=clock, timing=timing),
             clock=clock,
             timing=timing,
-            timeline=timeline,
+            timeline=self._timeline,
         )
         self.election = election_module.Election(
             vm=vm,
@@ -117,7 +136,7 @@
             state=self.state,
             archive=ports.archive,
             clock=clock,
-            timeline=timeline,
+            timeline=self._timeline,
             in_reserve=self.office.out_of_reach,
         )
         self.coordinator = coordinator_module.Coordinator(
@@ -129,9 +148,15 @@
             refuse_locally=self.membership.answer_refuse,
             clock=clock,
             timing=timing,
-            timeline=timeline,
+            timeline=self._timeline,
         )
         self.office.local = self.coordinator.handle
+
+    def _make_requests(self) -> None:
+        """Makes what requests pass through."""
+        vm = self._vm
+        clock = self._ports.clock
+        ports = self._ports
         self.attempts = attempts_module.Attempts(
             vm=vm,
             state=self.state,
@@ -147,7 +172,7 @@
             state=self.state,
             peers=ports.peers,
             clock=clock,
-            timeline=timeline,
+            timeline=self._timeline,
         )
         self.hand_over = handover.HandOver(
             vm=vm,
@@ -178,19 +203,32 @@
             peers=ports.peers,
             clock=clock,
         )
-        self.meter = meter_module.Meter(timeline=timeline)
+        self._announcements = announcements.Announcements(
+            clock=clock,
+            timeline=self._timeline,
+            changed=self._take_targets,
+            forget=ports.targets.forget,
+        )
+        self.announced = self._announcements.take
+
+    def _make_operations(self, identity: membership_module.Identity) -> None:
+        """Makes what operators see and ask for."""
+        vm = self._vm
+        clock = self._ports.clock
+        ports = self._ports
+        self.meter = meter_module.Meter(timeline=self._timeline)
         self.metered_router = meter_module.MeteredRouter(
             router=self.router, state=self.state, meter=self.meter, clock=clock
         )
         self._observer = observer_module.Observer(
-            state=self.state, timeline=timeline
+            state=self.state, timeline=self._timeline
         )
         self.collector = collector_module.Collector(
             vm=vm,
             incarnation=identity.incarnation,
             state=self.state,
             peers=ports.peers,
-            timeline=timeline,
+            timeline=self._timeline,
         )
         self.operations = operations_module.Operations(
             vm=vm,
@@ -199,41 +237,32 @@
             office=self.office,
             peers=ports.peers,
             probe=self._report,
-            timeline=timeline,
+            timeline=self._timeline,
             quarantine=self.quarantine,
         )
-        self._announcements = announcements.Announcements(
-            clock=clock,
-            timeline=timeline,
-            changed=self._take_targets,
-            forget=ports.targets.forget,
-        )
-        self.announced = self._announcements.take
-        self._answer = functools.singledispatch(self.coordinator.handle)
-        self._answer.register(
+
+    def _make_handlers(self) -> Callable[[messages.Message], messages.Message]:
+        """Returns the handler of messages, chosen by their type."""
+        answer = functools.singledispatch(self.coordinator.handle)
+        answer.register(
             member_messages.Heartbeat, self.membership.answer_heartbeat
         )
-        self._answer.register(
-            member_messages.Refuse, self.membership.answer_refuse
-        )
-        self._answer.register(member_messages.FetchState, self.sync.snapshot)
-        self._answer.register(request_messages.Forward, self._answer_forward)
-        self._answer.register(
-            request_messages.AskAnswer, self.attempts.answer_ask
-        )
-        self._answer.register(operator_messages.Probe, self._report)
-        self._answer.register(
-            operator_messages.ReadTimeline, self.collector.part
-        )
-        self._answer.register(
+        answer.register(member_messages.Refuse, self.membership.answer_refuse)
+        answer.register(member_messages.FetchState, self.sync.snapshot)
+        answer.register(request_messages.Forward, self._answer_forward)
+        answer.register(request_messages.AskAnswer, self.attempts.answer_ask)
+        answer.register(operator_messages.Probe, self._report)
+        answer.register(operator_messages.ReadTimeline, self.collector.part)
+        answer.register(
             request_messages.NoteCrashes, self.quarantine.answer_notes
         )
-        self._answer.register(
+        answer.register(
             operator_messages.ListQuarantined, self.quarantine.answer_list
         )
-        self._answer.register(
+        answer.register(
             operator_messages.ReleaseQuarantined, self.quarantine.answer_release
         )
+        return answer
 
     def handle(self, message: messages.Message) -> messages.Message:
         """Answers a message from another daemon."""
