Let the election, the quarantine and the codec serve another front end

Cause: on a platform that keeps no list of members the same parts are needed without the assignment of witnesses, and a node's memory is dear: pydantic and TLS are loaded by the connections between daemons alone. Ruled out: a second election and quarantine beside the present ones.

--- a/primrosecross/adapters/peer_codec.py
+++ b/primrosecross/adapters/peer_codec.py
@@ -13,13 +13,12 @@
 from collections.abc import Iterator
 
 import msgpack
-import pydantic
+import msgspec
 
 from primrosecross.adapters import peer_body
 from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import messages
-from primrosecross.models import settings as settings_model
 
 MAX_FRAME_BYTES = 4 << 20
 READ_BYTES = 4096  # the library's default of 1 MB is held by each connection
@@ -79,9 +78,16 @@
 
 
 def _check_of(annotation: object) -> Check:
-    """Returns the check of a field; types without one of ours use pydantic."""
+    """Returns the check of a field; types without one of ours use msgspec."""
     check = _CHECKS.get(annotation)
-    return check or pydantic.TypeAdapter(annotation).validate_python
+    return check or functools.partial(_convert, annotation)
+
+
+def _convert(annotation: object, value: object) -> object:
+    try:
+        return msgspec.convert(value, annotation)
+    except msgspec.ValidationError as error:
+        raise ValueError(str(error)) from error
 
 
 class _Kind:
@@ -201,8 +207,8 @@
 
 def _problem(error: Exception) -> str:
     """Returns what is wrong without what was received, which may be private."""
-    if isinstance(error, pydantic.ValidationError):
-        return settings_model.describe(error)
+    if isinstance(error.__cause__, msgspec.ValidationError):
+        return str(error)
     return type(error).__name__
 
 
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peer_streams.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 import gevent
 from gevent import pool as gevent_pool
@@ -13,7 +14,6 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import peer_connection
-from primrosecross.adapters import peer_tls
 from primrosecross.adapters import peer_writer
 from primrosecross.domain import errors
 from primrosecross.domain import events
@@ -33,6 +33,18 @@
 _logger = logging.getLogger(__name__)
 
 
+class PeerWrapper(Protocol):
+    """Protects connections between daemons, as peer_tls.PeerTls does."""
+
+    def wrap(
+        self, sock: gevent_socket.socket, *, accepted: bool
+    ) -> gevent_socket.socket:
+        """Returns the protected socket; raises OSError if it is refused."""
+
+    def names_of(self, sock: gevent_socket.socket) -> frozenset[str]:
+        """Returns the VM names that the other side proved."""
+
+
 class _Link:
     """The way to one peer on one lane.
 
@@ -85,7 +97,7 @@
         listen: tuple[str, int],
         stamps: stamp.StampClock,
         record: Callable[[events.Event], None] = lambda event: None,
-        tls: peer_tls.PeerTls | None = None,
+        tls: PeerWrapper | None = None,
     ) -> None:
         self._tls = tls
         self._stamps = stamps
@@ -223,7 +235,7 @@
         names = None
         if self._tls is not None:
             sock = self._tls.wrap(sock, accepted=accepted)
-            names = peer_tls.names_of(sock)
+            names = self._tls.names_of(sock)
         return peer_connection.Connection(
             sock=sock,
             hello=dataclasses.replace(self._hello, lane=lane),
--- a/primrosecross/adapters/peer_tls.py
+++ b/primrosecross/adapters/peer_tls.py
@@ -107,12 +107,12 @@
         context = server if accepted else client
         return context.wrap_socket(sock, server_side=accepted)
 
-
-def names_of(sock: ssl.SSLSocket) -> frozenset[str]:
-    """Returns the VM names in the other side's certificate."""
-    certificate = sock.getpeercert() or {}
-    return frozenset(
-        value
-        for kind, value in certificate.get("subjectAltName", ())
-        if kind == "DNS"
-    )
+    @staticmethod
+    def names_of(sock: ssl.SSLSocket) -> frozenset[str]:
+        """Returns the VM names in the other side's certificate."""
+        certificate = sock.getpeercert() or {}
+        return frozenset(
+            value
+            for kind, value in certificate.get("subjectAltName", ())
+            if kind == "DNS"
+        )
--- a/primrosecross/domain/election.py
+++ b/primrosecross/domain/election.py
@@ -1,5 +1,6 @@
 """Election of the coordinator by a lease object in the store."""
 
+import dataclasses
 import logging
 import random
 from collections.abc import Callable
@@ -8,7 +9,6 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import lease as lease_module
-from primrosecross.domain import state as state_module
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import clock as clock_port
 
@@ -20,6 +20,21 @@
 _logger = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TermTiming:
+    """How a term is kept.
+
+    Attributes:
+        renew_ms: Time between renewals, and between looks of a candidate.
+        term_ms: A term that has not been renewed for so long has ended.
+        reserve_ms: Time between looks of those who are no candidates.
+    """
+
+    renew_ms: int = RENEW_MS
+    term_ms: int = TERM_MS
+    reserve_ms: int = RESERVE_MS
+
+
 class Election:
     """Takes the office when it is free and renews it while held.
 
@@ -31,11 +46,12 @@
     Args:
         vm: This VM's name.
         peer_address: Where this daemon listens for others.
-        state: Assignment in force here, which names the candidates.
+        candidate: Tells whether this daemon campaigns.
         archive: Where the term is kept.
         clock: Clock that counts time spent suspended.
         timeline: Where elections are recorded.
         in_reserve: Tells whether the coordinator has long been out of reach.
+        timing: How often the term is renewed, and when it ends.
     """
 
     def __init__(
@@ -43,16 +59,18 @@
         *,
         vm: str,
         peer_address: str,
-        state: state_module.State,
-        archive: archive_port.Archive,
+        candidate: Callable[[], bool],
+        archive: archive_port.TermArchive,
         clock: clock_port.Clock,
         timeline: events.Timeline,
         in_reserve: Callable[[], bool] = lambda: False,
+        timing: TermTiming | None = None,
     ) -> None:
         self._in_reserve = in_reserve
+        self._timing = timing or TermTiming()
         self._vm = vm
         self._peer_address = peer_address
-        self._state = state
+        self._candidate = candidate
         self._archive = archive
         self._clock = clock
         self._timeline = timeline
@@ -75,12 +93,12 @@
     def run(self) -> None:
         """Campaigns until killed."""
         while True:
-            candidate = is_candidate(self._vm, self._state.assignment)
+            candidate = self._candidate()
             if candidate or self._in_reserve():
                 self._try_campaign()
-            pause_ms = RENEW_MS
+            pause_ms = self._timing.renew_ms
             if not candidate and not self.in_office:
-                pause_ms = RESERVE_MS
+                pause_ms = self._timing.reserve_ms
             self._clock.sleep(pause_ms * random.uniform(0.8, 1.0))
 
     def _try_campaign(self) -> None:
@@ -114,7 +132,9 @@
         self._version = self._archive.write_term(term, self._version)
         self._term = term
         self._changed_ns = asked_ns
-        self._office_until_ns = asked_ns + TERM_MS * lease_module.NS_PER_MS
+        self._office_until_ns = (
+            asked_ns + self._timing.term_ms * lease_module.NS_PER_MS
+        )
         if not renewing:
             self._timeline.record(events.CoordinatorElected(term.number))
 
@@ -128,7 +148,7 @@
         if self._term is None or self._term.vm == self._vm:
             return True
         idle_ns = asked_ns - self._changed_ns
-        return idle_ns >= TERM_MS * lease_module.NS_PER_MS
+        return idle_ns >= self._timing.term_ms * lease_module.NS_PER_MS
 
 
 def is_candidate(vm: str, current: assignment.Assignment) -> bool:
--- a/primrosecross/domain/errors.py
+++ b/primrosecross/domain/errors.py
@@ -85,3 +85,11 @@
 
 class TargetLostError(RouterError):
     """The target took the request and its answer did not come."""
+
+
+class TargetClosedError(TargetLostError):
+    """A kept connection ended before any byte of an answer came."""
+
+
+class DocumentError(RouterError):
+    """A document from outside does not validate."""
--- /dev/null
+++ b/primrosecross/domain/fleet_messages.py
@@ -0,0 +1,136 @@
+"""Messages by which daemons on a platform store follow what is decided."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GivenBack:
+    """Keys on their way to another target that their holder released."""
+
+    first: int
+    last: int
+    generation: int
+    token: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetReport:
+    """The target beside the sender.
+
+    Attributes:
+        life: Identity of its present start.
+        born_ms: Unix time of that start.
+        service: Its service.
+        slots: Requests it runs at once.
+        state: A check_in.TargetState.
+        cold: Whether it is still slow after its start.
+        typical_ms: What a request usually takes there, 0 if unknown.
+        forfeited: Grants up to this version of the map have run out.
+        given_back: Keys it released for others.
+    """
+
+    life: str
+    born_ms: int
+    service: str
+    slots: int
+    state: str
+    cold: bool
+    typical_ms: int
+    forfeited: int
+    given_back: tuple[GivenBack, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmEntry:
+    """One VM as the coordinator last heard of it.
+
+    Attributes:
+        state: A check_in.TargetState, or "lost" if its daemon is silent.
+    """
+
+    vm: str
+    place: str
+    address: str
+    service: str
+    slots: int
+    state: str
+    cold: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sync:
+    """Reports to the coordinator and asks for news; answered by SyncAck.
+
+    Attributes:
+        incarnation: Identity of the sender's process.
+        stopping: Whether the sender is about to end.
+        map_version: Newest map that the sender knows.
+        plan_revision: Newest plan that it knows.
+        directory: Identity of the directory that it follows.
+        directory_number: Newest change of it that the sender knows.
+        targets: The target beside it, if there is one.
+        key_counts: Requests by key since the last report.
+    """
+
+    vm: str
+    place: str
+    address: str
+    incarnation: str
+    stopping: bool
+    map_version: int
+    plan_revision: int
+    directory: str
+    directory_number: int
+    targets: tuple[TargetReport, ...]
+    key_counts: tuple[tuple[int, int], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SyncAck:
+    """What the asker does not know yet.
+
+    Attributes:
+        coordinator: VM of the coordinator known to the sender.
+        coordinator_address: Where it listens.
+        term: Number of its term.
+        office_age_ms: Time since its office was last proved; -1 unless the
+            sender is the coordinator.
+        map_version: Newest map that the sender knows.
+        key_map: That map encoded, empty if the asker has it.
+        proof_version: Version of the map that the sender's proof showed.
+        proof_age_ms: Age of the proof, -1 if there is none.
+        plan_revision: Newest plan that the sender knows.
+        plan: That plan encoded, empty if the asker has it.
+        directory: Identity of the sender's directory.
+        directory_number: Newest change in it.
+        entries: VMs that changed since the asker's number.
+    """
+
+    coordinator: str
+    coordinator_address: str
+    term: int
+    office_age_ms: int
+    map_version: int
+    key_map: bytes
+    proof_version: int
+    proof_age_ms: int
+    plan_revision: int
+    plan: bytes
+    directory: str
+    directory_number: int
+    entries: tuple[VmEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """Tells a daemon that there is news; answered by Done.
+
+    Attributes:
+        coordinator: VM of the coordinator.
+        address: Where it listens.
+        term: Number of its term.
+    """
+
+    coordinator: str
+    address: str
+    term: int
--- /dev/null
+++ b/primrosecross/domain/key_map.py
@@ -0,0 +1,154 @@
+"""Which target holds which range of keys, as decided in the store."""
+
+import bisect
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+LAST_KEY = 65_535
+NO_ONE = ""
+
+
+class HolderState(enum.StrEnum):
+    """Life of a holder in the map."""
+
+    ACTIVE = "active"
+    REVOKING = "revoking"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """One life of a target that may hold keys.
+
+    Attributes:
+        life: Identity of this start of the target; a restart is another life.
+        vm: VM beside which the target runs.
+        service: Its service.
+        state: Whether its keys are being taken away without its consent.
+        since: Version of the map that set the state.
+    """
+
+    life: str
+    vm: str
+    service: str
+    state: HolderState = HolderState.ACTIVE
+    since: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRange:
+    """A range of keys with one holder.
+
+    Attributes:
+        first: First key.
+        last: Last key, included.
+        holder: Life that holds the range, NO_ONE if it is free.
+        generation: Fencing token; grows whenever the holder changes.
+        token: Hand-over token of the previous holder, empty if there is none.
+        receiver: Life that gets the range once its holder has released it,
+            NO_ONE if it stays.
+    """
+
+    first: int
+    last: int
+    holder: str = NO_ONE
+    generation: int = 0
+    token: str = ""
+    receiver: str = NO_ONE
+
+    @property
+    def size(self) -> int:
+        """Number of keys."""
+        return self.last - self.first + 1
+
+    def cut(self, first: int, last: int) -> "KeyRange":
+        """Returns the part of the range within bounds that overlap it."""
+        return dataclasses.replace(
+            self, first=max(first, self.first), last=min(last, self.last)
+        )
+
+    def overlaps(self, first: int, last: int) -> bool:
+        """Tells whether a key lies in both ranges."""
+        return first <= self.last and self.first <= last
+
+
+class RangeTable:
+    """All ranges of one service, in order and without gaps.
+
+    Args:
+        ranges: Ranges that cover every key once.
+    """
+
+    def __init__(self, ranges: Iterable[KeyRange]) -> None:
+        self.ranges = tuple(ranges)
+        self._firsts = [r.first for r in self.ranges]
+
+    @classmethod
+    def free(cls) -> "RangeTable":
+        """Returns a table in which nobody holds a key."""
+        return cls((KeyRange(0, LAST_KEY),))
+
+    def find(self, key: int) -> KeyRange:
+        """Returns the range of a key."""
+        return self.ranges[bisect.bisect_right(self._firsts, key) - 1]
+
+    def held_by(self, life: str) -> list[KeyRange]:
+        """Returns the ranges of a holder."""
+        return [r for r in self.ranges if r.holder == life]
+
+    def replaced(self, changes: Iterable[KeyRange]) -> "RangeTable":
+        """Returns a table in which ranges stand in place of what they cover."""
+        pieces = list(self.ranges)
+        for change in changes:
+            pieces = [p for old in pieces for p in _without(old, change)]
+            pieces.append(change)
+        pieces.sort(key=lambda r: r.first)
+        return RangeTable(_merged(pieces))
+
+
+def _without(old: KeyRange, change: KeyRange) -> list[KeyRange]:
+    if not old.overlaps(change.first, change.last):
+        return [old]
+    rest = []
+    if old.first < change.first:
+        rest.append(dataclasses.replace(old, last=change.first - 1))
+    if old.last > change.last:
+        rest.append(dataclasses.replace(old, first=change.last + 1))
+    return rest
+
+
+def _merged(pieces: list[KeyRange]) -> list[KeyRange]:
+    """Joins neighbours that differ in nothing but their bounds."""
+    joined: list[KeyRange] = []
+    for piece in pieces:
+        previous = joined[-1] if joined else None
+        if previous is not None and previous == dataclasses.replace(
+            piece, first=previous.first, last=previous.last
+        ):
+            joined[-1] = dataclasses.replace(previous, last=piece.last)
+        else:
+            joined.append(piece)
+    return joined
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyMap:
+    """One version of holders and ranges; versions only grow.
+
+    Attributes:
+        version: Number of this version.
+        holders: Lives that the tables name, by life.
+        tables: Ranges by service.
+    """
+
+    version: int = 0
+    holders: dict[str, Holder] = dataclasses.field(default_factory=dict)
+    tables: dict[str, RangeTable] = dataclasses.field(default_factory=dict)
+
+    def find(self, service: str, key: int) -> tuple[KeyRange, Holder | None]:
+        """Returns the range of a key and the life that holds it."""
+        table = self.tables.get(service)
+        if table is None:
+            return KeyRange(0, LAST_KEY), None
+        found = table.find(key)
+        return found, self.holders.get(found.holder)
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -3,6 +3,7 @@
 import functools
 
 from primrosecross.domain import body as body_module
+from primrosecross.domain import fleet_messages
 from primrosecross.domain import member_messages
 from primrosecross.domain import operator_messages
 from primrosecross.domain import request_messages
@@ -49,6 +50,9 @@
     | operator_messages.ListQuarantined
     | operator_messages.Quarantined
     | operator_messages.ReleaseQuarantined
+    | fleet_messages.Sync
+    | fleet_messages.SyncAck
+    | fleet_messages.Notice
 )
 
 
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -133,7 +133,9 @@
         self.election = election_module.Election(
             vm=vm,
             peer_address=identity.peer_address,
-            state=self.state,
+            candidate=lambda: election_module.is_candidate(
+                vm, self.state.assignment
+            ),
             archive=ports.archive,
             clock=clock,
             timeline=self._timeline,
@@ -169,7 +171,7 @@
         )
         self.quarantine = quarantine_module.Quarantine(
             vm=vm,
-            state=self.state,
+            members=lambda: self.state.assignment.members,
             peers=ports.peers,
             clock=clock,
             timeline=self._timeline,
@@ -290,6 +292,9 @@
             deadline_ns=deadline_ns,
             identified=forward.identified,
             attempt=forward.attempt,
+            priority=forward.priority,
+            objective_ms=forward.objective_ms,
+            origin=forward.origin,
         )
         return replies.reply_of(self.executor.execute(req), req.request_id)
 
--- a/primrosecross/domain/quarantine.py
+++ b/primrosecross/domain/quarantine.py
@@ -9,9 +9,10 @@
 """
 
 import collections
-import collections.abc
 import dataclasses
 import random
+from collections.abc import Callable
+from collections.abc import Iterable
 
 import gevent
 
@@ -24,7 +25,6 @@
 from primrosecross.domain import outcome
 from primrosecross.domain import request
 from primrosecross.domain import request_messages
-from primrosecross.domain import state as state_module
 from primrosecross.domain import stream_messages
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
@@ -77,7 +77,7 @@
 
     Args:
         vm: This VM's name.
-        state: Members to tell.
+        members: Returns the VMs to tell.
         peers: Other daemons.
         clock: Clock that ages refer to.
         timeline: Where quarantines are recorded.
@@ -87,13 +87,13 @@
         self,
         *,
         vm: str,
-        state: state_module.State,
+        members: Callable[[], Iterable[str]],
         peers: peers_port.Peers,
         clock: clock_port.Clock,
         timeline: events.Timeline,
     ) -> None:
         self._vm = vm
-        self._state = state
+        self._members = members
         self._peers = peers
         self._clock = clock
         self._timeline = timeline
@@ -167,7 +167,7 @@
     def _tell_all(self, message: messages.Message) -> None:
         tasks = [
             gevent.spawn(self._tell, vm, message)
-            for vm in self._state.assignment.members
+            for vm in self._members()
             if vm != self._vm
         ]
         gevent.joinall(tasks, timeout=SPREAD_TIMEOUT_MS / 1000)
@@ -245,7 +245,7 @@
         self._forget_crashes(f"{question.fingerprint} {c}" for c in noted)
         return stream_messages.Done()
 
-    def _forget_crashes(self, names: collections.abc.Iterable[str]) -> None:
+    def _forget_crashes(self, names: Iterable[str]) -> None:
         for name in names:
             self._released[name] = self._clock.now_ns()
         while len(self._released) > MAX_NOTES:
@@ -283,7 +283,7 @@
 
     def compare(self) -> None:
         """Takes over what a member drawn at random has noted."""
-        others = [vm for vm in self._state.assignment.members if vm != self._vm]
+        others = [vm for vm in self._members() if vm != self._vm]
         if not others:
             return
         try:
--- a/primrosecross/domain/request.py
+++ b/primrosecross/domain/request.py
@@ -24,6 +24,10 @@
         identified: Whether request_id is the caller's own.
         attempt: 1 if no earlier attempt was made, more if one was, 0 if
             neither is known.
+        priority: Rank; 0 is the most urgent.
+        objective_ms: Time within which an answer is worth its full benefit,
+            0 if the plan does not say.
+        origin: Service on whose VM the request began, empty if unknown.
     """
 
     request_id: str
@@ -37,3 +41,6 @@
     deadline_ns: int
     identified: bool = False
     attempt: int = 0
+    priority: int = 0
+    objective_ms: int = 0
+    origin: str = ""
--- a/primrosecross/domain/request_messages.py
+++ b/primrosecross/domain/request_messages.py
@@ -21,6 +21,10 @@
         generation: Grant under which the sender believes the receiver owns
             the key; 0 for services without keys.
         timeout_ms: Time left until the caller's deadline.
+        priority: Rank; 0 is the most urgent.
+        objective_ms: Time within which an answer is worth its full benefit,
+            0 if the plan does not say.
+        origin: Service on whose VM the request began, empty if unknown.
     """
 
     request_id: str
@@ -35,6 +39,9 @@
     attempt: int
     generation: int
     timeout_ms: int
+    priority: int = 0
+    objective_ms: int = 0
+    origin: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/primrosecross/domain/target_watch.py
@@ -0,0 +1,240 @@
+"""What a daemon knows of the target beside it, and what it grants to it."""
+
+import dataclasses
+import logging
+from collections.abc import Callable
+
+from primrosecross.domain import check_in as check_in_module
+from primrosecross.domain import key_map as key_map_module
+from primrosecross.domain import proof as proof_module
+from primrosecross.ports import clock as clock_port
+
+SILENT_AFTER_MS = 3000  # heartbeats may come seconds late
+REFUSED_GAP_MS = 20
+MAX_GRANTS = 80  # what fits into an answer of 4 KiB
+MIN_HOLD_MS = 200
+MAX_TOKENS = 256
+_NS_PER_MS = proof_module.NS_PER_MS
+_State = check_in_module.TargetState
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Beside:
+    """The present life of the target.
+
+    Attributes:
+        last: Its newest heartbeat.
+        heard_ns: When that came.
+        state: What it can do.
+        granted: Ranges of the newest answer.
+        granted_until_ns: When everything granted has run out at the latest.
+        tokens: Hand-over tokens of what it released, newest last.
+        forfeited: Version of the map up to whose grants it gets none again;
+            others were told that it holds nothing of them.
+        given_back: Ranges on their way to others that it has released.
+    """
+
+    last: check_in_module.CheckIn
+    heard_ns: int
+    state: check_in_module.TargetState
+    granted: tuple[check_in_module.GrantedRange, ...] = ()
+    granted_until_ns: int = 0
+    tokens: list[check_in_module.ReleasedRange] = dataclasses.field(
+        default_factory=list
+    )
+    forfeited: int = 0
+    given_back: tuple[key_map_module.KeyRange, ...] = ()
+
+
+class TargetWatch:
+    """Takes in the heartbeats of the target beside this daemon.
+
+    Args:
+        lease: Proof under which keys are granted.
+        key_map: Returns the map in force here.
+        max_hold_ms: Longest time for which keys are granted.
+        clock: Clock that counts time spent suspended.
+        changed: Called when others should hear of a change.
+    """
+
+    def __init__(
+        self,
+        *,
+        lease: proof_module.ProofLease,
+        key_map: Callable[[], key_map_module.KeyMap],
+        max_hold_ms: int,
+        clock: clock_port.Clock,
+        changed: Callable[[], None],
+    ) -> None:
+        self._lease = lease
+        self._key_map = key_map
+        self._max_hold_ms = max_hold_ms
+        self._clock = clock
+        self._changed = changed
+        self._refused_ns = 0
+        # An earlier process of this daemon may have granted until then.
+        self._earlier_until_ns = clock.now_ns() + max_hold_ms * _NS_PER_MS
+        self.beside: Beside | None = None
+        self.on_new_life: Callable[[], None] = lambda: None
+        self.on_grant: Callable[[], None] = lambda: None
+
+    def take(
+        self, check_in: check_in_module.CheckIn
+    ) -> check_in_module.CheckInAnswer:
+        """Takes a heartbeat in and returns what the target is to hold."""
+        beside = self.beside
+        if beside is not None and _is_late(check_in, beside.last):
+            _logger.info(
+                "a heartbeat of %s came late and changes nothing", check_in.life
+            )
+            return check_in_module.CheckInAnswer()
+        if beside is None or beside.last.life != check_in.life:
+            beside = self._begin(check_in)
+        before = (beside.state, beside.last.slots)
+        beside.last = check_in
+        beside.heard_ns = self._clock.now_ns()
+        if beside.state is not _State.DRAINING:
+            beside.state = check_in.state
+        given_back = self._given_back(beside)
+        if before != (beside.state, check_in.slots) or (
+            given_back != beside.given_back
+        ):
+            beside.given_back = given_back
+            self._changed()
+        return self._grant(beside)
+
+    def _given_back(
+        self, beside: Beside
+    ) -> tuple[key_map_module.KeyRange, ...]:
+        """Returns the ranges promised to others that are held no more.
+
+        The heartbeat came after the map took them away, so no grant of them
+        can still be on its way to the target.
+        """
+        beside.tokens = (beside.tokens + list(beside.last.released))[
+            -MAX_TOKENS:
+        ]
+        table = self._key_map().tables.get(beside.last.service)
+        if table is None:
+            return ()
+        return tuple(
+            dataclasses.replace(r, token=_token_for(r, beside.tokens))
+            for r in table.held_by(beside.last.life)
+            if r.receiver != key_map_module.NO_ONE
+            and not any(
+                r.overlaps(h.first, h.last) for h in beside.last.held
+            )
+        )
+
+    def _begin(self, check_in: check_in_module.CheckIn) -> Beside:
+        _logger.info(
+            "target %s of %s checks in", check_in.life, check_in.service
+        )
+        self.beside = Beside(
+            check_in, self._clock.now_ns(), check_in.state
+        )
+        self._refused_ns = 0
+        self.on_new_life()
+        self._changed()
+        return self.beside
+
+    def _grant(self, beside: Beside) -> check_in_module.CheckInAnswer:
+        key_map = self._key_map()
+        table = key_map.tables.get(beside.last.service)
+        hold_ms = min(self._lease.left_ms(), self._max_hold_ms)
+        if table is None or hold_ms < MIN_HOLD_MS:
+            return check_in_module.CheckInAnswer()
+        grants = tuple(
+            check_in_module.GrantedRange(
+                r.first, r.last, r.generation, r.token
+            )
+            for r in table.held_by(beside.last.life)
+            if r.receiver == key_map_module.NO_ONE
+            and r.generation > beside.forfeited
+        )[:MAX_GRANTS]
+        news = grants != beside.granted
+        beside.granted = grants
+        beside.granted_until_ns = self._clock.now_ns() + int(
+            hold_ms * (1 + proof_module.DRIFT_SHARE) * _NS_PER_MS
+        )
+        if news:
+            self.on_grant()
+        return check_in_module.CheckInAnswer(grants, hold_ms)
+
+    def leave(self, instance: str) -> None:
+        """Takes in that the target says it goes."""
+        beside = self.beside
+        if beside is None or beside.last.instance != instance:
+            return
+        if beside.state is not _State.GONE:
+            _logger.info("target %s leaves", beside.last.life)
+            beside.state = _State.DRAINING
+            self._changed()
+
+    def refused(self) -> None:
+        """Takes in that the target's port refused a connection.
+
+        Nothing listens there, so the life is over; a second refusal rules
+        out a port that was just about to be opened.
+        """
+        beside = self.beside
+        now_ns = self._clock.now_ns()
+        if beside is None or beside.state is _State.GONE:
+            return
+        if not self._refused_ns or beside.heard_ns > self._refused_ns:
+            self._refused_ns = now_ns
+        elif now_ns - self._refused_ns >= REFUSED_GAP_MS * _NS_PER_MS:
+            _logger.warning("target %s is gone", beside.last.life)
+            beside.state = _State.GONE
+            beside.forfeited = self._key_map().version
+            self._changed()
+
+    def look(self) -> None:
+        """Notes when the target is silent, and when its grants run out."""
+        beside = self.beside
+        if beside is None:
+            return
+        now_ns = self._clock.now_ns()
+        if beside.state is _State.SILENT and not beside.forfeited:
+            if now_ns > max(beside.granted_until_ns, self._earlier_until_ns):
+                beside.forfeited = self._key_map().version
+                self._changed()
+            return
+        silent_ms = (now_ns - beside.heard_ns) / _NS_PER_MS
+        if beside.state is _State.READY and silent_ms > SILENT_AFTER_MS:
+            _logger.warning(
+                "target %s has been silent for %d ms",
+                beside.last.life,
+                silent_ms,
+            )
+            beside.state = _State.SILENT
+            self._changed()
+
+    def holds(self, key: int) -> bool:
+        """Tells whether the target was granted a key and may still hold it."""
+        beside = self.beside
+        if beside is None or self._clock.now_ns() > beside.granted_until_ns:
+            return False
+        return any(g.first <= key <= g.last for g in beside.granted)
+
+
+def _token_for(
+    wanted: key_map_module.KeyRange,
+    tokens: list[check_in_module.ReleasedRange],
+) -> str:
+    """Returns the newest token that covers a range, empty if none does."""
+    for released in reversed(tokens):
+        if released.first <= wanted.first and wanted.last <= released.last:
+            return released.token
+    return ""
+
+
+def _is_late(
+    new: check_in_module.CheckIn, last: check_in_module.CheckIn
+) -> bool:
+    """Tells whether a heartbeat is older than one already taken in."""
+    if new.born_ms != last.born_ms:
+        return new.born_ms < last.born_ms
+    return new.life == last.life and new.sequence <= last.sequence
--- a/primrosecross/ports/archive.py
+++ b/primrosecross/ports/archive.py
@@ -25,7 +25,17 @@
     beat: int
 
 
-class Archive(Protocol):
+class TermArchive(Protocol):
+    """Where the coordinator's term is kept; see Archive."""
+
+    def read_term(self) -> tuple[Term | None, str]:
+        """Returns the coordinator's term."""
+
+    def write_term(self, value: Term, version: str) -> str:
+        """Writes the coordinator's term; returns the store's new version."""
+
+
+class Archive(TermArchive, Protocol):
     """Typed view of the platform store.
 
     Reads return the object with the store's version of it, None and an empty
@@ -53,12 +63,6 @@
     ) -> str:
         """Writes the assignment; returns the store's new version."""
 
-    def read_term(self) -> tuple[Term | None, str]:
-        """Returns the coordinator's term."""
-
-    def write_term(self, value: Term, version: str) -> str:
-        """Writes the coordinator's term; returns the store's new version."""
-
     def wait_for_plan(self, version: str, timeout_ms: int) -> bool:
         """Waits until the plan has changed since a store version."""
 
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -181,7 +181,7 @@
         )
         suspects = quarantine.Quarantine(
             vm=name,
-            state=present,
+            members=lambda: present.assignment.members,
             peers=self.peers,
             clock=self.clock,
             timeline=timeline,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -83,7 +83,7 @@
             timeline=timeline,
             quarantine=quarantine.Quarantine(
                 vm="a",
-                state=present,
+                members=lambda: present.assignment.members,
                 peers=peers,
                 clock=self.clock,
                 timeline=timeline,
