--- a/primrosecross/adapters/http_client.py
+++ b/primrosecross/adapters/http_client.py
@@ -8,6 +8,7 @@
 import dataclasses
 import socket
 import time
+from collections.abc import Callable
 
 import gevent
 import httptools
@@ -48,11 +49,16 @@
 
 
 class _Parser:
-    """Collects one answer; notes bytes that follow it."""
+    """Collects the answer to one request; notes bytes that follow it.
 
-    def __init__(self) -> None:
+    An answer to an earlier request that comes late is passed over.
+    """
+
+    def __init__(self, belongs: Callable[[HttpAnswer], bool]) -> None:
         self.answer = HttpAnswer()
         self.complete = False
+        self._belongs = belongs
+        self._in_body = False
         self.excess = False
         self._keep_alive = False
         self._pieces: list[bytes] = []
@@ -82,6 +88,7 @@
         if self.complete:
             return
         answer = self.answer
+        self._in_body = True
         answer.status = self._parser.get_status_code()
         coding = answer.get("transfer-encoding").lower()
         answer.framed = "chunked" in coding or bool(
@@ -97,18 +104,23 @@
             raise ValueError("the answer's body is too long")
 
     def on_message_complete(self) -> None:
-        if self.complete or self.answer.status < 200:
-            self._restart()
+        if self.complete:
+            return
+        if self.answer.status < 200 or not self._belongs(self.answer):
+            self.answer = HttpAnswer()
+            self._pieces.clear()
+            self._in_body = False
             return
         self.answer.body = b"".join(self._pieces)
         self._keep_alive = self._parser.should_keep_alive()
         self.complete = True
 
-    def _restart(self) -> None:
-        """Forgets an interim answer; the final one follows it."""
-        if not self.complete:
-            self.answer = HttpAnswer()
-            self._pieces.clear()
+    def end(self) -> None:
+        """Takes in the end of the connection, which may end the body."""
+        ends_body = self._in_body and not self.answer.framed
+        if ends_body and not self.complete and self._belongs(self.answer):
+            self.answer.body = b"".join(self._pieces)
+            self.complete = True
 
     def reusable(self) -> bool:
         return (
@@ -154,6 +166,7 @@
         body: bytes = b"",
         timeout_s: float,
         max_idle_s: float = 60.0,
+        belongs: Callable[[HttpAnswer], bool] = lambda answer: True,
     ) -> HttpAnswer:
         """Sends a request and returns the whole answer.
 
@@ -162,6 +175,7 @@
             body: The framed body.
             timeout_s: Time for everything.
             max_idle_s: Kept connections idle for longer are not used.
+            belongs: Tells whether an answer is to this request.
 
         Raises:
             errors.TargetUnsentError: Nothing was sent.
@@ -172,7 +186,7 @@
         self.in_use += 1
         try:
             with gevent.Timeout(timeout_s, False):
-                return self._exchange(head, body, max_idle_s)
+                return self._exchange(head, body, max_idle_s, _Parser(belongs))
             raise errors.TargetLostError(
                 f"no answer within {timeout_s * 1000:.0f} ms",
                 remedy="check that the server is not overloaded",
@@ -181,13 +195,12 @@
             self.in_use -= 1
 
     def _exchange(
-        self, head: bytes, body: bytes, max_idle_s: float
+        self, head: bytes, body: bytes, max_idle_s: float, parser: _Parser
     ) -> HttpAnswer:
         sock = self._take_kept(max_idle_s)
         kept = sock is not None
         if sock is None:
             sock = self._connect()
-        parser = _Parser()
         done = False
         try:
             self._send(sock, head, body)
@@ -253,6 +266,7 @@
             while not parser.complete:
                 data = sock.recv(RECEIVE_BYTES)
                 if not data:
+                    parser.end()
                     break
                 heard = True
                 parser.feed(data)
@@ -272,9 +286,7 @@
     def _keep(self, sock: gevent_socket.socket, answer: HttpAnswer) -> None:
         if len(self._kept) >= self._max_kept:
             self._kept.pop(0).sock.close()
-        self._kept.append(
-            _Kept(sock, time.monotonic(), _idle_limit_s(answer))
-        )
+        self._kept.append(_Kept(sock, time.monotonic(), _idle_limit_s(answer)))
 
     def close(self) -> None:
         """Closes the kept connections."""
@@ -329,3 +341,17 @@
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
     return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
+
+
+def listens(address: str, *, timeout_s: float) -> bool:
+    """Tells whether anything takes connections at "ip:port" now."""
+    host, _, port = address.rpartition(":")
+    try:
+        gevent_socket.create_connection(
+            (host, int(port)), timeout=timeout_s
+        ).close()
+    except ConnectionRefusedError:
+        return False
+    except OSError:  # Slow or out of reach, which does not prove it gone.
+        return True
+    return True
--- a/primrosecross/adapters/json_log.py
+++ b/primrosecross/adapters/json_log.py
@@ -7,6 +7,7 @@
 import dataclasses
 import json
 import logging
+import os
 import sys
 import time
 import types
@@ -16,6 +17,9 @@
 
 FIELDS = ("request_id", "key_hash", "service", "took_ms")
 WINDOW_S = 10.0
+FLUSH_S = 0.2
+MAX_GATHERED = 2000
+MAX_REST_BYTES = 256 * 1024
 MAX_IN_WINDOW = {
     logging.DEBUG: 1000,
     logging.INFO: 50,
@@ -102,11 +106,62 @@
         return True
 
 
-def configure(*, vm: str, level: str) -> None:
-    """Sends all logs to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+class GatheringHandler(logging.Handler):
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Lines are gathered and written every FLUSH_S. What its reader does not
+    take in time is dropped and counted.
+
+    Args:
+        descriptor: Where lines go; it is made non-blocking.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._lines: list[str] = []
+        self._rest = b""
+        self._dropped = 0
+        self._task: gevent.Greenlet | None = None
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queues a record."""
+        if len(self._lines) >= MAX_GATHERED:
+            self._dropped += 1
+            return
+        self._lines.append(self.format(record))
+        if self._task is None:
+            self._task = gevent.spawn_later(FLUSH_S, self.flush)
+
+    def flush(self) -> None:
+        """Writes what is gathered."""
+        self._task = None
+        lines, self._lines = self._lines, []
+        if self._dropped:
+            lines.append(json.dumps({"dropped_lines": self._dropped}))
+            self._dropped = 0
+        data = self._rest + "".join(f"{line}\n" for line in lines).encode()
+        try:
+            written = os.write(self._descriptor, data) if data else 0
+        except BlockingIOError:
+            written = 0
+        except OSError:  # The reader is gone; there is nobody to tell.
+            written = len(data)
+        self._rest = data[written:][:MAX_REST_BYTES]
+
+
+def configure(
+    *,
+    vm: str,
+    level: str,
+    handler: logging.Handler | None = None,
+    limits: dict[int, int] = MAX_IN_WINDOW,
+) -> None:
+    """Sends all logs as JSON lines, to standard error unless told otherwise."""
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter(vm=vm))
-    handler.addFilter(RateLimit())
+    handler.addFilter(RateLimit(limits=limits))
     logging.basicConfig(level=level, handlers=[handler], force=True)
     gevent.get_hub().print_exception = _log_unhandled
 
--- a/primrosecross/adapters/metrics_http.py
+++ b/primrosecross/adapters/metrics_http.py
@@ -23,35 +23,29 @@
 _BOUNDS = [*(str(ms / MS_PER_S) for ms in latencies_module.BUCKETS_MS), "+Inf"]
 
 
-class DaemonCollector(registry.Collector):
-    """Reads a daemon's figures when they are asked for.
+Readings = dict[str, tuple[str, Callable[[], float]]]
+
+
+class RequestCollector(registry.Collector):
+    """Reads requests, latencies and other figures when they are asked for.
 
     Args:
         meter: Requests that entered here.
-        state: Versions in force.
-        lease: This daemon's lease.
-        election: Whether it is the coordinator.
-        executor: Requests that run on its targets.
         counters: Other counters, by name without prefix; each gives its
             description and a function that returns its value.
+        gauges: Other gauges, in the same form.
     """
 
     def __init__(
         self,
         *,
         meter: meter_module.Meter,
-        state: state_module.State,
-        lease: lease_module.Lease,
-        election: election_module.Election,
-        executor: executor_module.Executor,
-        counters: dict[str, tuple[str, Callable[[], int]]],
+        counters: Readings,
+        gauges: Readings,
     ) -> None:
         self._meter = meter
-        self._state = state
-        self._lease = lease
-        self._election = election
-        self._executor = executor
         self._counters = counters
+        self._gauges = gauges
 
     def collect(self) -> Iterable[core.Metric]:
         """Yields all metrics."""
@@ -59,7 +53,8 @@
         yield from self._latencies()
         for name, (text, value) in self._counters.items():
             yield core.CounterMetricFamily(f"{PREFIX}_{name}", text, value())
-        yield from self._gauges()
+        for name, (text, value) in self._gauges.items():
+            yield core.GaugeMetricFamily(f"{PREFIX}_{name}", text, value())
 
     def _requests(self) -> core.Metric:
         family = core.CounterMetricFamily(
@@ -96,29 +91,65 @@
         yield family
         yield percentiles
 
-    def _gauges(self) -> Iterable[core.Metric]:
-        current = self._state.assignment
-        vm_shards = [
-            len(table.shards_of(self._state.vm))
-            for table in current.tables.values()
-        ]
-        gauges = {
-            "plan_version": ("Plan in force here.", self._state.plan.version),
+
+class DaemonCollector(RequestCollector):
+    """Reads a daemon's figures when they are asked for.
+
+    Args:
+        meter: Requests that entered here.
+        state: Versions in force.
+        lease: This daemon's lease.
+        election: Whether it is the coordinator.
+        executor: Requests that run on its targets.
+        counters: Other counters, by name without prefix; each gives its
+            description and a function that returns its value.
+    """
+
+    def __init__(
+        self,
+        *,
+        meter: meter_module.Meter,
+        state: state_module.State,
+        lease: lease_module.Lease,
+        election: election_module.Election,
+        executor: executor_module.Executor,
+        counters: Readings,
+    ) -> None:
+        gauges: Readings = {
+            "plan_version": (
+                "Plan in force here.",
+                lambda: state.plan.version,
+            ),
             "assignment_version": (
                 "Assignment in force here.",
-                current.version,
+                lambda: state.assignment.version,
+            ),
+            "lease_held": ("1 while the lease is held.", lease.held),
+            "coordinator": (
+                "1 while in office.",
+                lambda: election.in_office,
+            ),
+            "members": (
+                "Members of the assignment.",
+                lambda: len(state.assignment.members),
+            ),
+            "owned_shards": (
+                "Shards owned here.",
+                lambda: _owned_shards(state),
             ),
-            "lease_held": ("1 while the lease is held.", self._lease.held()),
-            "coordinator": ("1 while in office.", self._election.in_office),
-            "members": ("Members of the assignment.", len(current.members)),
-            "owned_shards": ("Shards owned here.", sum(vm_shards)),
             "in_flight": (
                 "Keyed requests running on targets here.",
-                self._executor.in_flight(),
+                executor.in_flight,
             ),
         }
-        for name, (text, value) in gauges.items():
-            yield core.GaugeMetricFamily(f"{PREFIX}_{name}", text, value)
+        super().__init__(meter=meter, counters=counters, gauges=gauges)
+
+
+def _owned_shards(state: state_module.State) -> int:
+    return sum(
+        len(table.shards_of(state.vm))
+        for table in state.assignment.tables.values()
+    )
 
 
 class Metrics:
@@ -128,7 +159,7 @@
         collector: Reads the figures.
     """
 
-    def __init__(self, collector: DaemonCollector) -> None:
+    def __init__(self, collector: RequestCollector) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         self._registry.register(collector)
 
--- /dev/null
+++ b/primrosecross/domain/dispatcher.py
@@ -0,0 +1,306 @@
+"""Brings a request from the VM it began on to a target that may run it."""
+
+import collections
+import dataclasses
+import enum
+import functools
+import logging
+
+from primrosecross.domain import errors
+from primrosecross.domain import fleet_state
+from primrosecross.domain import gate_choice
+from primrosecross.domain import key_gate
+from primrosecross.domain import outcome
+from primrosecross.domain import replies
+from primrosecross.domain import request
+from primrosecross.domain import request_messages
+from primrosecross.domain import retry
+from primrosecross.domain import routes
+from primrosecross.ports import clock as clock_port
+from primrosecross.ports import peers as peers_port
+
+NS_PER_MS = 1_000_000
+MAX_PLACES = 3  # gates asked for one attempt while none has run it
+MOVE_WAIT_MS = 1500  # a move of a key: a heartbeat at each end and a write
+MOVE_LOOK_MS = 60
+NO_PLACE_RETRY_MS = 500
+ANSWER_MARGIN_MS = 25  # between the target's deadline and the route's timeout
+REPEAT_SHARE = 0.1  # half of the fleet's budget, as calls repeat with them
+REPEAT_RESERVE = 4.0
+
+_logger = logging.getLogger(__name__)
+
+
+class _Next(enum.Enum):
+    """What follows an attempt."""
+
+    RETURN = enum.auto()
+    ELSEWHERE = enum.auto()
+    REPEAT = enum.auto()
+    FOLLOW_KEY = enum.auto()
+
+
+# What follows a refusal that proves the request did not run.
+_AFTER_REFUSAL = {
+    outcome.Reason.OVERLOADED: _Next.ELSEWHERE,
+    outcome.Reason.NO_TARGET: _Next.ELSEWHERE,
+    outcome.Reason.LEAVING: _Next.ELSEWHERE,
+    outcome.Reason.OWNER_UNREACHABLE: _Next.ELSEWHERE,
+    outcome.Reason.NOT_OWNER: _Next.FOLLOW_KEY,
+    outcome.Reason.NO_OWNER: _Next.FOLLOW_KEY,
+    outcome.Reason.TARGET_REFUSED: _Next.REPEAT,
+}
+# What a key that stays with its holder can still do after a refusal.
+_KEYED = {
+    outcome.Reason.NO_TARGET: _Next.FOLLOW_KEY,
+    outcome.Reason.LEAVING: _Next.FOLLOW_KEY,
+    outcome.Reason.OWNER_UNREACHABLE: _Next.FOLLOW_KEY,
+    outcome.Reason.OVERLOADED: _Next.RETURN,
+}
+# What follows an answer that is not known, if running twice is harmless.
+_AFTER_LOSS = {
+    outcome.Reason.ANSWER_LOST: _Next.REPEAT,
+    outcome.Reason.TARGET_CRASHED: _Next.REPEAT,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempts:
+    """What became of one request so far.
+
+    Attributes:
+        runs: Targets that may have begun it or that refused it.
+        tried: VMs that were asked.
+        follow_until_ns: When to stop looking for a key's next holder.
+        unknown: The first outcome that was not known.
+        failed: The first answer by which a target said that it failed.
+    """
+
+    runs: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    follow_until_ns: int = 0
+    unknown: outcome.Unknown | None = None
+    failed: outcome.Answered | None = None
+
+    def note(self, result: outcome.Outcome) -> None:
+        """Keeps what rules out that a later refusal means "not run"."""
+        if isinstance(result, outcome.Unknown) and self.unknown is None:
+            self.unknown = result
+        if isinstance(result, outcome.Answered) and self.failed is None:
+            self.failed = result
+
+
+class Dispatcher:
+    """Finds the target, forwards, and repeats what may be repeated.
+
+    Args:
+        vm: This VM's name.
+        state: Map, plan and directory in force here.
+        gate: The gate of the target beside this daemon.
+        peers: Other daemons.
+        clock: Clock that counts time spent suspended.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        state: fleet_state.FleetState,
+        gate: key_gate.KeyGate,
+        peers: peers_port.Peers,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._vm = vm
+        self._state = state
+        self._gate = gate
+        self._peers = peers
+        self._clock = clock
+        self._choice = gate_choice.GateChoice(clock=clock)
+        self._budgets: dict[str, retry.RetryBudget] = collections.defaultdict(
+            functools.partial(
+                retry.RetryBudget,
+                share=REPEAT_SHARE,
+                reserve=REPEAT_RESERVE,
+                tokens=REPEAT_RESERVE,
+            )
+        )
+        self._turns: dict[str, dict[str, float]] = {}
+
+    def choose_service(self, route: routes.Route) -> str:
+        """Returns the service whose turn it is on a route, by weight.
+
+        Smooth weighted round robin: each service gains its weight a request,
+        and the one that is ahead gives up the sum of all.
+        """
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        turns = self._turns.setdefault(route.name, {})
+        total = sum(s.weight for s in route.shares)
+        for share in route.shares:
+            turns[share.service] = turns.get(share.service, 0.0) + share.weight
+        chosen = max(
+            (s.service for s in route.shares if s.weight),
+            key=lambda name: turns[name],
+        )
+        turns[chosen] -= total
+        return chosen
+
+    def run(self, req: request.Request, *, max_runs: int) -> outcome.Outcome:
+        """Returns the outcome of a request, at the latest at its deadline.
+
+        Args:
+            req: The request.
+            max_runs: Most targets to which it is sent.
+        """
+        budget = self._budgets[req.service]
+        budget.deposit()
+        attempts = _Attempts(
+            follow_until_ns=self._clock.now_ns() + MOVE_WAIT_MS * NS_PER_MS
+        )
+        while True:
+            vm = self._place(req, attempts)
+            result = self._attempt(vm, req)
+            attempts.note(result)
+            step = self._next(req, vm, result, attempts, max_runs)
+            if step is _Next.REPEAT and not budget.withdraw():
+                step = _Next.RETURN
+            if step is _Next.RETURN or self._left_ms(req) <= 0:
+                return _final(result, attempts)
+            if step is _Next.FOLLOW_KEY:
+                self._state.wait(MOVE_LOOK_MS / 1000)
+            attempts.tried.add(vm)
+
+    def _place(self, req: request.Request, attempts: _Attempts) -> str:
+        if req.key:
+            _, holder = self._state.key_map.find(req.service, int(req.key))
+            return "" if holder is None else holder.vm
+        return self._choice.choose(
+            self._state.entries,
+            req.service,
+            avoid=frozenset(attempts.tried),
+        )
+
+    def _left_ms(self, req: request.Request) -> int:
+        left_ns = req.deadline_ns - self._clock.now_ns()
+        return left_ns // NS_PER_MS - ANSWER_MARGIN_MS
+
+    def _attempt(self, vm: str, req: request.Request) -> outcome.Outcome:
+        if not vm:
+            return outcome.NotRun(
+                outcome.Reason.NO_OWNER,
+                f"no target of {req.service} can take the request now",
+                NO_PLACE_RETRY_MS,
+            )
+        started_ns = self._clock.now_ns()
+        self._choice.started(vm)
+        result: outcome.Outcome = outcome.Unknown(
+            outcome.Reason.ANSWER_LOST, "the attempt failed in the router"
+        )
+        try:
+            if vm == self._vm:
+                result = self._gate.run(req)
+            else:
+                result = self._forward(vm, req)
+            return result
+        finally:
+            took_ns = self._clock.now_ns() - started_ns
+            self._choice.ended(vm, result, took_ns / NS_PER_MS)
+
+    def _forward(self, vm: str, req: request.Request) -> outcome.Outcome:
+        left_ms = self._left_ms(req)
+        if left_ms <= 0:
+            return outcome.NotRun(
+                outcome.Reason.DEADLINE, "the deadline passed before sending"
+            )
+        message = request_messages.Forward(
+            request_id=req.request_id,
+            service=req.service,
+            key=req.key,
+            method=req.method,
+            path=req.path,
+            headers=req.headers,
+            body=req.body,
+            idempotent=req.idempotent,
+            identified=req.identified,
+            attempt=req.attempt,
+            generation=0,
+            timeout_ms=left_ms,
+            priority=req.priority,
+            objective_ms=req.objective_ms,
+            origin=req.origin,
+        )
+        try:
+            reply = self._peers.call(vm, message, timeout_ms=left_ms)
+        except errors.PeerUnsentError as error:
+            return outcome.NotRun(
+                outcome.Reason.OWNER_UNREACHABLE, str(error), NO_PLACE_RETRY_MS
+            )
+        except errors.PeerLostError as error:
+            late = self._left_ms(req) <= 0
+            return outcome.Unknown(
+                outcome.Reason.DEADLINE if late else outcome.Reason.ANSWER_LOST,
+                str(error),
+            )
+        return replies.outcome_of(reply, req.request_id)
+
+    def _next(
+        self,
+        req: request.Request,
+        vm: str,
+        result: outcome.Outcome,
+        attempts: _Attempts,
+        max_runs: int,
+    ) -> _Next:
+        """Returns what follows an attempt."""
+        step = _step_after(result, req)
+        if step is _Next.REPEAT:
+            attempts.runs += 1
+            return step if attempts.runs < max_runs else _Next.RETURN
+        if step is _Next.ELSEWHERE:
+            places = len(attempts.tried | {vm})
+            return step if places < MAX_PLACES and vm else _Next.RETURN
+        if step is _Next.FOLLOW_KEY and req.key:
+            in_time = self._clock.now_ns() < attempts.follow_until_ns
+            return step if in_time and self._may_come(req) else _Next.RETURN
+        return _Next.RETURN
+
+    def _may_come(self, req: request.Request) -> bool:
+        """Tells whether a key's holder is alive or about to change."""
+        found, holder = self._state.key_map.find(req.service, int(req.key))
+        if holder is None:
+            return bool(self._state.key_map.tables)
+        entry = self._state.entries.get(holder.vm)
+        lost = entry is None or entry.state in ("lost", "silent")
+        return not lost or bool(found.receiver)
+
+
+@functools.singledispatch
+def _step_after(result: object, req: request.Request) -> _Next:
+    """Returns what may follow an outcome, whatever is left to spend."""
+    raise TypeError(f"no step after {type(result).__name__}")
+
+
+@_step_after.register
+def _(result: outcome.Answered, req: request.Request) -> _Next:
+    failed = result.status >= 500 and req.idempotent
+    return _Next.REPEAT if failed else _Next.RETURN
+
+
+@_step_after.register
+def _(result: outcome.NotRun, req: request.Request) -> _Next:
+    table = _KEYED if req.key and result.reason in _KEYED else _AFTER_REFUSAL
+    return table.get(result.reason, _Next.RETURN)
+
+
+@_step_after.register
+def _(result: outcome.Unknown, req: request.Request) -> _Next:
+    if not req.idempotent:
+        return _Next.RETURN
+    return _AFTER_LOSS.get(result.reason, _Next.RETURN)
+
+
+def _final(result: outcome.Outcome, attempts: _Attempts) -> outcome.Outcome:
+    """Returns the outcome for the caller; "not run" must hold for all tries."""
+    if isinstance(result, outcome.NotRun):
+        return attempts.failed or attempts.unknown or result
+    return result
--- a/primrosecross/domain/election.py
+++ b/primrosecross/domain/election.py
@@ -85,6 +85,12 @@
         """Tells whether this daemon is the coordinator now."""
         return self._clock.now_ns() < self._office_until_ns
 
+    def proved_ms_ago(self) -> int:
+        """Returns the time since the office was last proved by the store."""
+        term_ns = self._timing.term_ms * lease_module.NS_PER_MS
+        proved_ns = self._office_until_ns - term_ns
+        return (self._clock.now_ns() - proved_ns) // lease_module.NS_PER_MS
+
     @property
     def term_number(self) -> int:
         """Number of the term last seen."""
--- /dev/null
+++ b/primrosecross/domain/fleet_node.py
@@ -0,0 +1,308 @@
+"""One daemon on a platform store: its parts, joined over the ports."""
+
+import dataclasses
+import functools
+import logging
+from collections.abc import Callable
+
+import gevent
+
+from primrosecross.domain import check_in
+from primrosecross.domain import dispatcher as dispatcher_module
+from primrosecross.domain import election as election_module
+from primrosecross.domain import errors
+from primrosecross.domain import events
+from primrosecross.domain import fleet_messages
+from primrosecross.domain import fleet_state
+from primrosecross.domain import follower as follower_module
+from primrosecross.domain import key_gate
+from primrosecross.domain import membership
+from primrosecross.domain import messages
+from primrosecross.domain import operator_messages
+from primrosecross.domain import outcome
+from primrosecross.domain import plan_watch
+from primrosecross.domain import proof as proof_module
+from primrosecross.domain import quarantine as quarantine_module
+from primrosecross.domain import range_coordinator
+from primrosecross.domain import replies
+from primrosecross.domain import request
+from primrosecross.domain import request_messages
+from primrosecross.domain import stream_messages
+from primrosecross.domain import target_watch
+from primrosecross.ports import clock as clock_port
+from primrosecross.ports import fleet_store
+from primrosecross.ports import peers as peers_port
+from primrosecross.ports import target as target_port
+
+TERM = election_module.TermTiming(renew_ms=500, term_ms=1500, reserve_ms=500)
+LOOK_MS = 200
+TASK_RETRY_MS = 500
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetPorts:
+    """Implementations of everything outside the decisions."""
+
+    clock: clock_port.Clock
+    store: fleet_store.FleetStore
+    plans: fleet_store.PlanSource
+    peers: peers_port.Peers
+    targets: target_port.Targets
+
+
+class FleetNode:
+    """Decisions of one daemon beside one target.
+
+    Args:
+        identity: Who this daemon is.
+        ports: The outside.
+        timeline: Where events are recorded.
+        max_hold_ms: Longest time for which keys are granted.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: membership.Identity,
+        ports: FleetPorts,
+        timeline: events.Timeline,
+        max_hold_ms: int,
+    ) -> None:
+        self._identity = identity
+        self._ports = ports
+        self._timeline = timeline
+        self.stopping = False
+        self.state = fleet_state.FleetState()
+        self.lease = proof_module.ProofLease(clock=ports.clock)
+        self._make_target_side(max_hold_ms)
+        self._make_ownership()
+        self.dispatcher = dispatcher_module.Dispatcher(
+            vm=identity.vm,
+            state=self.state,
+            gate=self.gate,
+            peers=ports.peers,
+            clock=ports.clock,
+        )
+        self._answer = self._make_handlers()
+
+    def _make_target_side(self, max_hold_ms: int) -> None:
+        clock = self._ports.clock
+        self.watch = target_watch.TargetWatch(
+            lease=self.lease,
+            key_map=lambda: self.state.key_map,
+            max_hold_ms=max_hold_ms,
+            clock=clock,
+            changed=self._wake,
+        )
+        self.quarantine = quarantine_module.Quarantine(
+            vm=self._identity.vm,
+            members=lambda: list(self.state.entries),
+            peers=self._ports.peers,
+            clock=clock,
+            timeline=self._timeline,
+        )
+        self.gate = key_gate.KeyGate(
+            watch=self.watch,
+            key_map=lambda: self.state.key_map,
+            targets=self._ports.targets,
+            quarantine=self.quarantine,
+            clock=clock,
+        )
+        self.state.subscribe(self.gate.note_grant)
+
+    def _make_ownership(self) -> None:
+        vm = self._identity.vm
+        ports = self._ports
+        self.follower = follower_module.Follower(
+            vm=vm,
+            address=self._identity.peer_address,
+            state=self.state,
+            lease=self.lease,
+            store=ports.store,
+            plans=ports.plans,
+            peers=ports.peers,
+            clock=ports.clock,
+            report=self.report,
+        )
+        self.election = election_module.Election(
+            vm=vm,
+            peer_address=self._identity.peer_address,
+            candidate=self._is_candidate,
+            archive=ports.store,
+            clock=ports.clock,
+            timeline=self._timeline,
+            timing=TERM,
+        )
+        self.follower.in_office = lambda: self.election.in_office
+        self.coordinator = range_coordinator.RangeCoordinator(
+            vm=vm,
+            election=self.election,
+            follower=self.follower,
+            state=self.state,
+            store=ports.store,
+            peers=ports.peers,
+            clock=ports.clock,
+        )
+        self.plan_watch = plan_watch.PlanWatch(
+            vm=vm,
+            state=self.state,
+            plans=ports.plans,
+            clock=ports.clock,
+            in_office=lambda: self.election.in_office,
+            out_of_touch=self.follower.out_of_touch,
+            changed=self._wake,
+        )
+
+    def _is_candidate(self) -> bool:
+        if self.stopping:
+            return False
+        return self.election.in_office or self.follower.out_of_touch()
+
+    def _wake(self) -> None:
+        self.follower.wake()
+
+    def _make_handlers(self) -> Callable[[messages.Message], messages.Message]:
+        """Returns the handler of messages, chosen by their type."""
+        answer = functools.singledispatch(_unknown)
+        answer.register(fleet_messages.Sync, self.coordinator.answer_sync)
+        answer.register(fleet_messages.Notice, self.coordinator.answer_notice)
+        answer.register(request_messages.Forward, self._answer_forward)
+        answer.register(
+            request_messages.NoteCrashes, self.quarantine.answer_notes
+        )
+        answer.register(
+            operator_messages.ListQuarantined, self.quarantine.answer_list
+        )
+        answer.register(
+            operator_messages.ReleaseQuarantined,
+            self.quarantine.answer_release,
+        )
+        return answer
+
+    def handle(self, message: messages.Message) -> messages.Message:
+        """Answers a message from another daemon."""
+        try:
+            return self._answer(message)
+        except errors.RouterError as error:
+            return stream_messages.Failure(error.problem, error.remedy)
+
+    def _answer_forward(
+        self, forward: request_messages.Forward
+    ) -> messages.Message:
+        deadline_ns = (
+            self._ports.clock.now_ns()
+            + forward.timeout_ms * proof_module.NS_PER_MS
+        )
+        req = request.Request(
+            request_id=forward.request_id,
+            service=forward.service,
+            key=forward.key,
+            method=forward.method,
+            path=forward.path,
+            headers=forward.headers,
+            body=forward.body,
+            idempotent=forward.idempotent,
+            deadline_ns=deadline_ns,
+            identified=forward.identified,
+            attempt=forward.attempt,
+            priority=forward.priority,
+            objective_ms=forward.objective_ms,
+            origin=forward.origin,
+        )
+        result = self.gate.run(req)
+        if not isinstance(result, outcome.Answered):
+            _logger.warning(
+                "a forwarded request failed: %s",
+                result.reason.value,
+                extra={"request_id": req.request_id, "service": req.service},
+            )
+        return replies.reply_of(result, req.request_id)
+
+    def report(self) -> fleet_messages.Sync:
+        """Returns what the coordinator is told; takes the counts of keys."""
+        plan = self.state.plan
+        return fleet_messages.Sync(
+            vm=self._identity.vm,
+            place=self._identity.place,
+            address=self._identity.peer_address,
+            incarnation=self._identity.incarnation,
+            stopping=self.stopping,
+            map_version=self.state.key_map.version,
+            plan_revision=0 if plan is None else plan.revision,
+            directory=self.follower.directory,
+            directory_number=self.follower.directory_number,
+            targets=self._target_reports(),
+            key_counts=self.gate.take_counts(),
+        )
+
+    def _target_reports(self) -> tuple[fleet_messages.TargetReport, ...]:
+        beside = self.watch.beside
+        if beside is None:
+            return ()
+        return (
+            fleet_messages.TargetReport(
+                life=beside.last.life,
+                born_ms=beside.last.born_ms,
+                service=beside.last.service,
+                slots=beside.last.slots,
+                state=beside.state.value,
+                cold=beside.last.cold_left_ms > 0,
+                typical_ms=round(self.gate.times.average_ms),
+                forfeited=beside.forfeited,
+                given_back=tuple(
+                    fleet_messages.GivenBack(
+                        r.first, r.last, r.generation, r.token
+                    )
+                    for r in beside.given_back
+                ),
+            ),
+        )
+
+    def is_ready(self) -> bool:
+        """Tells whether callers of this VM can be served."""
+        return not self.stopping and self.state.plan is not None
+
+    def begin_stop(self) -> None:
+        """Tells others that this daemon is about to end."""
+        self.stopping = True
+        self._wake()
+
+    def start(self) -> None:
+        """Starts the daemon's tasks."""
+        for task in (
+            self.election.run,
+            self.follower.run,
+            self.coordinator.run,
+            self.plan_watch.run,
+            self.quarantine.run,
+            self._look_at_target,
+        ):
+            gevent.spawn(self._keep_running, task)
+
+    def _keep_running(self, task: Callable[[], None]) -> None:
+        """Runs a task again when it fails, so that one fault stops no other."""
+        while True:
+            try:
+                task()
+            except Exception:
+                _logger.exception("a task failed; it is started again")
+                self._ports.clock.sleep(TASK_RETRY_MS)
+
+    def _look_at_target(self) -> None:
+        while True:
+            self.watch.look()
+            beside = self.watch.beside
+            if beside is not None:
+                self.gate.queue.set_slots(beside.last.slots)
+                if beside.state is check_in.TargetState.GONE:
+                    self.gate.note_grant()
+            self._ports.clock.sleep(LOOK_MS)
+
+
+def _unknown(message: messages.Message) -> messages.Message:
+    return stream_messages.Failure(
+        f"{type(message).__name__} is not spoken here",
+        "check that all daemons run the same kind of fleet",
+    )
--- /dev/null
+++ b/primrosecross/domain/follower.py
@@ -0,0 +1,281 @@
+"""Keeps a daemon's map, plan and proof as new as the coordinator's.
+
+Each daemon reports to the coordinator every SYNC_MS and gets what it lacks.
+While the coordinator is out of reach it asks other daemons, whose proofs go
+on by relay; while those are old too it reads the store itself.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+
+import gevent
+from gevent import event as gevent_event
+
+from primrosecross.domain import errors
+from primrosecross.domain import fleet_messages
+from primrosecross.domain import fleet_state
+from primrosecross.domain import messages
+from primrosecross.domain import proof as proof_module
+from primrosecross.domain import stream_messages
+from primrosecross.ports import clock as clock_port
+from primrosecross.ports import fleet_store
+from primrosecross.ports import peers as peers_port
+
+SYNC_MS = 400
+SYNC_TIMEOUT_MS = 400
+STALE_PROOF_MS = 1600  # four syncs
+SILENT_MS = 1000  # then a coordinator counts as out of reach
+STALE_OFFICE_MS = 2500
+FIND_MS = 500
+MIN_GAP_MS = 20
+ASKED_PEERS = 2
+_NS_PER_MS = proof_module.NS_PER_MS
+
+_logger = logging.getLogger(__name__)
+
+
+class Follower:
+    """Reports to the coordinator and takes in what is decided.
+
+    Args:
+        vm: This VM's name.
+        address: Where this daemon listens for others.
+        state: What this daemon knows.
+        lease: Its proof.
+        store: The platform's store.
+        plans: Decodes plans that other daemons send.
+        peers: Other daemons.
+        clock: Clock that counts time spent suspended.
+        report: Makes a report of this daemon.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        address: str,
+        state: fleet_state.FleetState,
+        lease: proof_module.ProofLease,
+        store: fleet_store.FleetStore,
+        plans: fleet_store.PlanSource,
+        peers: peers_port.Peers,
+        clock: clock_port.Clock,
+        report: Callable[[], fleet_messages.Sync],
+    ) -> None:
+        self._vm = vm
+        self.address = address
+        self._state = state
+        self._lease = lease
+        self._store = store
+        self._plans = plans
+        self._peers = peers
+        self._clock = clock
+        self.own_report = report
+        self._wake = gevent_event.Event()
+        self._heard_ns = 0
+        self._found_ns = 0
+        self._proved_ns = 0
+        self.coordinator = ""
+        self.coordinator_address = ""
+        self.term = 0
+        self.directory = ""
+        self.directory_number = 0
+        self.in_office: Callable[[], bool] = lambda: False
+
+    def wake(self) -> None:
+        """Has the next report leave at once."""
+        self._wake.set()
+
+    def run(self) -> None:
+        """Reports until killed."""
+        while True:
+            if not self.in_office():
+                self._follow()
+            self._wake.wait(timeout=SYNC_MS * random.uniform(0.9, 1.1) / 1000)
+            self._clock.sleep(MIN_GAP_MS)
+            self._wake.clear()
+
+    def _follow(self) -> None:
+        if self.coordinator and self.coordinator != self._vm:
+            self._sync_with(self.coordinator)
+        if self.out_of_touch():
+            self._find()
+        if self._lease.age_ms() > STALE_PROOF_MS:
+            self._ask_others()
+        if self._lease.age_ms() > STALE_PROOF_MS:
+            self._read_store()
+
+    def out_of_touch(self) -> bool:
+        """Tells whether no coordinator has answered for SILENT_MS."""
+        silent_ns = self._clock.now_ns() - self._heard_ns
+        return silent_ns > SILENT_MS * _NS_PER_MS
+
+    def _sync_with(self, vm: str) -> None:
+        asked_ns = self._clock.now_ns()
+        try:
+            ack = self._peers.call(
+                vm, self.own_report(), timeout_ms=SYNC_TIMEOUT_MS
+            )
+        except errors.PeerError as error:
+            _logger.info("no news from %s: %s", vm, error)
+            return
+        if isinstance(ack, fleet_messages.SyncAck):
+            self._take(vm, ack, asked_ns)
+
+    def _take(
+        self, vm: str, ack: fleet_messages.SyncAck, asked_ns: int
+    ) -> None:
+        try:
+            self._take_documents(ack)
+        except errors.DocumentError as error:
+            _logger.error("%s sent what does not decode: %s", vm, error)
+            return
+        if ack.proof_age_ms >= 0:
+            read_ns = asked_ns - (ack.proof_age_ms + 1) * _NS_PER_MS
+            self._lease.offer(
+                proof_module.Proof(ack.proof_version, read_ns),
+                map_version=self._state.key_map.version,
+            )
+        if 0 <= ack.office_age_ms < STALE_OFFICE_MS and vm == self.coordinator:
+            self._heard_ns = self._clock.now_ns()
+            self._take_directory(ack)
+        elif ack.term > self.term:
+            self.learn_coordinator(
+                ack.coordinator, ack.coordinator_address, ack.term
+            )
+
+    def _take_documents(self, ack: fleet_messages.SyncAck) -> None:
+        if ack.key_map:
+            self._state.offer_map(self._store.decode_map(ack.key_map))
+        if ack.plan:
+            self._state.offer_plan(
+                self._plans.decode_plan(ack.plan_revision, ack.plan)
+            )
+
+    def _take_directory(self, ack: fleet_messages.SyncAck) -> None:
+        anew = ack.directory != self.directory
+        self.directory = ack.directory
+        self.directory_number = ack.directory_number
+        for entry in ack.entries:
+            self._peers.learn_address(entry.vm, entry.address)
+        self._state.take_entries(ack.entries, anew=anew)
+
+    def learn_coordinator(self, vm: str, address: str, term: int) -> None:
+        """Takes in who is the coordinator, if the term is newer."""
+        if term < self.term or not vm:
+            return
+        if vm != self.coordinator:
+            _logger.info("coordinator is %s, term %d", vm, term)
+        self.term = term
+        self.coordinator = vm
+        self.coordinator_address = address
+        if vm != self._vm:
+            self._peers.learn_address(vm, address)
+
+    def _find(self) -> None:
+        """Reads who is the coordinator, not more often than FIND_MS."""
+        now_ns = self._clock.now_ns()
+        if now_ns - self._found_ns < FIND_MS * _NS_PER_MS:
+            return
+        self._found_ns = now_ns
+        try:
+            term, _ = self._store.read_term()
+        except errors.StoreError as error:
+            _logger.info("the coordinator's term was not read: %s", error)
+            return
+        if term is None:
+            return
+        known = self.coordinator
+        self.learn_coordinator(term.vm, term.peer_address, term.number)
+        if self.coordinator != known:
+            self._wake.set()
+
+    def _ask_others(self) -> None:
+        others = [
+            e.vm
+            for e in self._state.entries.values()
+            if e.vm not in (self._vm, self.coordinator) and e.state != "lost"
+        ]
+        drawn = random.sample(others, min(ASKED_PEERS, len(others)))
+        gevent.joinall([gevent.spawn(self._sync_with, vm) for vm in drawn])
+
+    def _read_store(self) -> None:
+        """Takes a proof from the store itself, not more often than FIND_MS."""
+        now_ns = self._clock.now_ns()
+        if now_ns - self._proved_ns < FIND_MS * _NS_PER_MS:
+            return
+        self._proved_ns = now_ns
+        try:
+            self.prove()
+        except errors.StoreError as error:
+            _logger.info("no proof from the store: %s", error)
+
+    def prove(self) -> str:
+        """Reads the map in the store; returns the store's version of it.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+        """
+        asked_ns = self._clock.now_ns()
+        found, version = self._store.read_map()
+        if found is not None:
+            self._state.offer_map(found)
+            self._lease.offer(
+                proof_module.Proof(found.version, asked_ns),
+                map_version=self._state.key_map.version,
+            )
+        return version
+
+    def offer_proof(self, version: int, read_ns: int) -> None:
+        """Takes in a proof that came with an accepted write."""
+        self._lease.offer(
+            proof_module.Proof(version, read_ns),
+            map_version=self._state.key_map.version,
+        )
+
+    def fetch_from(self, vm: str) -> None:
+        """Takes over what another daemon has that is newer."""
+        self._sync_with(vm)
+
+    def answer_notice(self, notice: fleet_messages.Notice) -> messages.Message:
+        """Takes in that there is news."""
+        self.learn_coordinator(notice.coordinator, notice.address, notice.term)
+        self.wake()
+        return stream_messages.Done()
+
+    def answer_sync(
+        self,
+        sync: fleet_messages.Sync,
+        *,
+        office_age_ms: int = -1,
+        directory: str = "",
+        directory_number: int = 0,
+        entries: tuple[fleet_messages.VmEntry, ...] = (),
+    ) -> fleet_messages.SyncAck:
+        """Returns what the asker lacks; a coordinator adds its directory."""
+        key_map = self._state.key_map
+        document = self._state.document
+        newest = self._lease.newest
+        revision = 0 if document is None else document.plan.revision
+        return fleet_messages.SyncAck(
+            coordinator=self.coordinator,
+            coordinator_address=self.coordinator_address,
+            term=self.term,
+            office_age_ms=office_age_ms,
+            map_version=key_map.version,
+            key_map=self._store.encode_map(key_map)
+            if key_map.version > sync.map_version
+            else b"",
+            proof_version=0 if newest is None else newest.version,
+            proof_age_ms=-1
+            if newest is None
+            else int(self._lease.age_ms()) + 1,
+            plan_revision=revision,
+            plan=document.content
+            if document is not None and revision > sync.plan_revision
+            else b"",
+            directory=directory,
+            directory_number=directory_number,
+            entries=entries,
+        )
--- /dev/null
+++ b/primrosecross/domain/range_coordinator.py
@@ -0,0 +1,371 @@
+"""Holds the office: gathers reports, decides, writes the map, tells others."""
+
+import dataclasses
+import logging
+import random
+
+import gevent
+from gevent import event as gevent_event
+
+from primrosecross.domain import election as election_module
+from primrosecross.domain import errors
+from primrosecross.domain import fleet_messages
+from primrosecross.domain import fleet_state
+from primrosecross.domain import follower as follower_module
+from primrosecross.domain import key_load
+from primrosecross.domain import key_map as key_map_module
+from primrosecross.domain import messages
+from primrosecross.domain import proof as proof_module
+from primrosecross.domain import range_decisions
+from primrosecross.domain import stream_messages
+from primrosecross.ports import clock as clock_port
+from primrosecross.ports import fleet_store
+from primrosecross.ports import peers as peers_port
+
+LOST_AFTER_MS = 1500  # three reports and more
+SETTLE_MS = 3000  # a restarted daemon hears its target within that
+TAKE_OFFICE_MS = 2200  # until all daemons had time to report
+BEGIN_MS = 2500
+DECIDE_MS = 100
+PROVE_MS = 500
+NOTICE_TIMEOUT_MS = 300
+INVITE_MS = 500
+FORGET_MS = 30_000
+LOST = "lost"  # state of an entry whose daemon is silent
+_NS_PER_MS = proof_module.NS_PER_MS
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    """One VM's last report.
+
+    Attributes:
+        heard_ns: When it came.
+        since_ns: When this process of its daemon first reported.
+        number: Change of the directory that shows its present entry.
+    """
+
+    report: fleet_messages.Sync
+    heard_ns: int
+    since_ns: int
+    entry: fleet_messages.VmEntry
+    number: int
+
+
+class RangeCoordinator:
+    """Decides who holds which keys while its daemon is in office.
+
+    Args:
+        vm: This VM's name.
+        election: Tells whether this daemon is in office.
+        follower: Keeps this daemon's proof.
+        state: What this daemon knows.
+        store: The platform's store.
+        peers: Other daemons.
+        clock: Clock that counts time spent suspended.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        election: election_module.Election,
+        follower: follower_module.Follower,
+        state: fleet_state.FleetState,
+        store: fleet_store.FleetStore,
+        peers: peers_port.Peers,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._vm = vm
+        self._election = election
+        self._follower = follower
+        self._state = state
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._heard: dict[str, _Heard] = {}
+        self._loads: dict[str, key_load.KeyLoad] = {}
+        self._revoking_ns: dict[tuple[str, int], int] = {}
+        self._number = 0
+        self._term = 0
+        self._office_ns = 0
+        self._version = ""
+        self._proved_ns = 0
+        self._invited_ns = 0
+        self._told_revision = 0
+        self._wake = gevent_event.Event()
+        state.subscribe(self._wake.set)
+
+    @property
+    def _directory(self) -> str:
+        return f"{self._vm}/{self._term}"
+
+    def answer_sync(self, sync: fleet_messages.Sync) -> messages.Message:
+        """Takes in a report and returns what its sender lacks."""
+        if not self._election.in_office:
+            return self._follower.answer_sync(sync)
+        self._take_office()
+        self._take_report(sync)
+        followed = sync.directory == self._directory
+        known = sync.directory_number if followed else 0
+        return self._follower.answer_sync(
+            sync,
+            office_age_ms=self._election.proved_ms_ago(),
+            directory=self._directory,
+            directory_number=self._number,
+            entries=tuple(
+                h.entry for h in self._heard.values() if h.number > known
+            ),
+        )
+
+    def _take_office(self) -> None:
+        """Begins anew when the term is another than before."""
+        term = self._election.term_number
+        if term == self._term:
+            return
+        self._term = term
+        self._office_ns = self._clock.now_ns()
+        self._heard = {}
+        self._loads = {}
+        self._revoking_ns = {}
+        self._number = 0
+        self._version = ""
+        _logger.info("in office as coordinator, term %d", term)
+
+    def _take_report(self, sync: fleet_messages.Sync) -> None:
+        now_ns = self._clock.now_ns()
+        old = self._heard.get(sync.vm)
+        since_ns = now_ns
+        if old is not None and old.report.incarnation == sync.incarnation:
+            since_ns = old.since_ns
+        self._peers.learn_address(sync.vm, sync.address)
+        self._heard[sync.vm] = _Heard(
+            sync,
+            now_ns,
+            since_ns,
+            old.entry if old is not None else _entry(sync, lost=False),
+            old.number if old is not None else 0,
+        )
+        if self._note_entry(sync.vm, lost=False) or _differs(old, sync):
+            self._wake.set()
+        self._take_counts(sync)
+        document = self._state.document
+        known = 0 if document is None else document.plan.revision
+        if sync.plan_revision > known and sync.vm != self._vm:
+            gevent.spawn(self._follower.fetch_from, sync.vm)
+
+    def _note_entry(self, vm: str, *, lost: bool) -> bool:
+        """Puts a VM's state into the directory; tells whether it changed."""
+        heard = self._heard[vm]
+        entry = _entry(heard.report, lost=lost)
+        if heard.number and heard.entry == entry:
+            return False
+        self._number += 1
+        heard.entry = entry
+        heard.number = self._number
+        self._state.take_entries((entry,), anew=False)
+        return True
+
+    def _take_counts(self, sync: fleet_messages.Sync) -> None:
+        if not sync.targets or not sync.key_counts:
+            return
+        load = self._loads.setdefault(
+            sync.targets[0].service, key_load.KeyLoad()
+        )
+        load.add(sync.key_counts, self._clock.now_ns() / 1e9)
+
+    def run(self) -> None:
+        """Decides while in office, until killed."""
+        while True:
+            self._wake.wait(timeout=DECIDE_MS / 1000)
+            self._clock.sleep(follower_module.MIN_GAP_MS)
+            self._wake.clear()
+            if not self._election.in_office:
+                continue
+            self._take_office()
+            self._lead()
+
+    def _lead(self) -> None:
+        self._follower.learn_coordinator(
+            self._vm, self._follower.address, self._term
+        )
+        self._take_report(self._follower.own_report())
+        self._note_lost()
+        self._tell_of_plan()
+        try:
+            self._prove()
+            self._decide()
+        except errors.StoreError as error:
+            self._version = ""
+            _logger.warning("no decision: %s", error)
+            self._clock.sleep(DECIDE_MS * random.uniform(1, 3))
+
+    def _prove(self) -> None:
+        """Keeps the proof that others rest on fresh."""
+        now_ns = self._clock.now_ns()
+        fresh = now_ns - self._proved_ns < PROVE_MS * _NS_PER_MS
+        if fresh and self._version:
+            return
+        self._version = self._follower.prove()
+        self._proved_ns = now_ns
+        if not self._version:
+            self._write(key_map_module.KeyMap(version=1))
+
+    def _note_lost(self) -> None:
+        now_ns = self._clock.now_ns()
+        lost_ns = LOST_AFTER_MS * _NS_PER_MS
+        lost = [
+            vm
+            for vm, heard in self._heard.items()
+            if now_ns - heard.heard_ns > lost_ns and vm != self._vm
+        ]
+        for vm in lost:
+            if self._note_entry(vm, lost=True):
+                _logger.warning("VM %s has been silent for long", vm)
+        if now_ns - self._invited_ns > INVITE_MS * _NS_PER_MS:
+            self._invited_ns = now_ns
+            for vm in lost:
+                gevent.spawn(self._tell, vm)
+        for vm in lost:
+            if now_ns - self._heard[vm].heard_ns > FORGET_MS * _NS_PER_MS:
+                del self._heard[vm]
+
+    def _in_office_ms(self) -> float:
+        return (self._clock.now_ns() - self._office_ns) / _NS_PER_MS
+
+    def _decide(self) -> None:
+        plan = self._state.plan
+        if plan is None or self._in_office_ms() < TAKE_OFFICE_MS:
+            return
+        situation = range_decisions.Situation(
+            seen={vm: self._seen(h) for vm, h in self._heard.items()},
+            keyed_services=tuple(
+                s.name for s in plan.services.values() if s.keyed
+            ),
+            loads=self._loads,
+            expired=self._expired(),
+            may_begin=self._in_office_ms() > BEGIN_MS,
+        )
+        draft = range_decisions.decide(self._state.key_map, situation)
+        if draft is not None:
+            self._write(draft)
+
+    def _seen(self, heard: _Heard) -> range_decisions.Seen:
+        settled_ns = self._clock.now_ns() - heard.since_ns
+        return range_decisions.Seen(
+            report=heard.report,
+            lost=heard.entry.state == LOST,
+            settled=settled_ns > SETTLE_MS * _NS_PER_MS,
+        )
+
+    def _expired(self) -> frozenset[str]:
+        """Returns the lives whose revocation has stood for long enough.
+
+        The wait begins when this process first saw the intent in the store.
+        """
+        now_ns = self._clock.now_ns()
+        wait_ns = proof_module.revocation_wait_ms() * _NS_PER_MS
+        revoking = {
+            (h.life, h.since)
+            for h in self._state.key_map.holders.values()
+            if h.state is key_map_module.HolderState.REVOKING
+        }
+        self._revoking_ns = {
+            key: self._revoking_ns.get(key, now_ns) for key in revoking
+        }
+        return frozenset(
+            life
+            for (life, _), since_ns in self._revoking_ns.items()
+            if now_ns - since_ns > wait_ns
+        )
+
+    def _write(self, draft: key_map_module.KeyMap) -> None:
+        asked_ns = self._clock.now_ns()
+        self._version = self._store.write_map(draft, self._version)
+        _log_changes(self._state.key_map, draft)
+        self._state.offer_map(draft)
+        self._follower.offer_proof(draft.version, asked_ns)
+        self._proved_ns = asked_ns
+        self._tell_all()
+
+    def _tell_of_plan(self) -> None:
+        plan = self._state.plan
+        if plan is not None and plan.revision != self._told_revision:
+            self._told_revision = plan.revision
+            self._tell_all()
+
+    def _tell_all(self) -> None:
+        for vm in self._heard:
+            if vm != self._vm:
+                gevent.spawn(self._tell, vm)
+
+    def _tell(self, vm: str) -> None:
+        """Has a daemon ask for news at once."""
+        notice = fleet_messages.Notice(
+            self._vm, self._follower.address, self._term
+        )
+        try:
+            self._peers.call(vm, notice, timeout_ms=NOTICE_TIMEOUT_MS)
+        except errors.PeerError as error:
+            _logger.debug("%s was not told of news: %s", vm, error)
+
+    def answer_notice(self, notice: fleet_messages.Notice) -> messages.Message:
+        """Takes in that another daemon has news, unless this one decides."""
+        if self._election.in_office and notice.term <= self._term:
+            return stream_messages.Done()
+        return self._follower.answer_notice(notice)
+
+
+def _entry(sync: fleet_messages.Sync, *, lost: bool) -> fleet_messages.VmEntry:
+    target = sync.targets[0] if sync.targets else None
+    state = "" if target is None else target.state
+    if sync.stopping:
+        state = "draining"
+    return fleet_messages.VmEntry(
+        vm=sync.vm,
+        place=sync.place,
+        address=sync.address,
+        service="" if target is None else target.service,
+        slots=0 if target is None else target.slots,
+        state=LOST if lost else state,
+        cold=target is not None and target.cold,
+    )
+
+
+def _differs(old: _Heard | None, sync: fleet_messages.Sync) -> bool:
+    """Tells whether a report may call for a decision."""
+    if old is None:
+        return True
+    before = old.report.targets[0] if old.report.targets else None
+    after = sync.targets[0] if sync.targets else None
+    if before is None or after is None:
+        return before is not after
+    return (before.life, before.forfeited, before.given_back) != (
+        after.life,
+        after.forfeited,
+        after.given_back,
+    )
+
+
+def _log_changes(
+    before: key_map_module.KeyMap, after: key_map_module.KeyMap
+) -> None:
+    """Logs what a decision changed, one line for each range."""
+    for service, table in after.tables.items():
+        old = before.tables.get(service)
+        known = frozenset(old.ranges) if old is not None else frozenset()
+        for held in table.ranges:
+            if held not in known:
+                _logger.info(
+                    "map %d: %s keys %d to %d at %s, generation %d, going to "
+                    "%s",
+                    after.version,
+                    service,
+                    held.first,
+                    held.last,
+                    held.holder or "no one",
+                    held.generation,
+                    held.receiver or "no one",
+                )
--- a/primrosecross/domain/target_watch.py
+++ b/primrosecross/domain/target_watch.py
@@ -123,18 +123,14 @@
             dataclasses.replace(r, token=_token_for(r, beside.tokens))
             for r in table.held_by(beside.last.life)
             if r.receiver != key_map_module.NO_ONE
-            and not any(
-                r.overlaps(h.first, h.last) for h in beside.last.held
-            )
+            and not any(r.overlaps(h.first, h.last) for h in beside.last.held)
         )
 
     def _begin(self, check_in: check_in_module.CheckIn) -> Beside:
         _logger.info(
             "target %s of %s checks in", check_in.life, check_in.service
         )
-        self.beside = Beside(
-            check_in, self._clock.now_ns(), check_in.state
-        )
+        self.beside = Beside(check_in, self._clock.now_ns(), check_in.state)
         self._refused_ns = 0
         self.on_new_life()
         self._changed()
@@ -144,12 +140,11 @@
         key_map = self._key_map()
         table = key_map.tables.get(beside.last.service)
         hold_ms = min(self._lease.left_ms(), self._max_hold_ms)
-        if table is None or hold_ms < MIN_HOLD_MS:
+        holder = key_map.holders.get(beside.last.life)
+        if table is None or hold_ms < MIN_HOLD_MS or _is_revoked(holder):
             return check_in_module.CheckInAnswer()
         grants = tuple(
-            check_in_module.GrantedRange(
-                r.first, r.last, r.generation, r.token
-            )
+            check_in_module.GrantedRange(r.first, r.last, r.generation, r.token)
             for r in table.held_by(beside.last.life)
             if r.receiver == key_map_module.NO_ONE
             and r.generation > beside.forfeited
@@ -231,6 +226,13 @@
     return ""
 
 
+def _is_revoked(holder: key_map_module.Holder | None) -> bool:
+    return (
+        holder is not None
+        and holder.state is key_map_module.HolderState.REVOKING
+    )
+
+
 def _is_late(
     new: check_in_module.CheckIn, last: check_in_module.CheckIn
 ) -> bool:
--- /dev/null
+++ b/primrosecross/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: the only place that knows its names."""
--- /dev/null
+++ b/primrosecross/platform/__main__.py
@@ -0,0 +1,7 @@
+"""Entry point of a daemon on the platform."""
+
+import sys
+
+from primrosecross.platform import daemon
+
+sys.exit(daemon.main())
--- /dev/null
+++ b/primrosecross/platform/ingress.py
@@ -0,0 +1,209 @@
+"""Requests of callers and of the target beside the daemon.
+
+Source: PROTOCOL.md, "Ingress" and "Answers".
+"""
+
+import functools
+import logging
+from collections.abc import Callable
+
+from primrosecross.adapters import http_connection
+from primrosecross.domain import dispatcher as dispatcher_module
+from primrosecross.domain import fleet_state
+from primrosecross.domain import key_map
+from primrosecross.domain import outcome
+from primrosecross.domain import request
+from primrosecross.domain import routes
+from primrosecross.platform import headers
+from primrosecross.ports import clock as clock_port
+
+NS_PER_MS = 1_000_000
+RETRY_AFTER_MS = 500
+MAX_DEADLINE_MS = 600_000
+# Who is told what, by why a request did not run.
+_STATUS = {
+    outcome.Reason.BAD_REQUEST: 400,
+    outcome.Reason.UNKNOWN_SERVICE: 404,
+}
+
+_logger = logging.getLogger(__name__)
+
+
+class Ingress:
+    """Turns HTTP requests into requests of the product, and outcomes back.
+
+    Args:
+        service: Service of the target beside this daemon.
+        state: The plan in force here.
+        dispatcher: Runs requests.
+        clock: Clock that deadlines refer to.
+        record: Takes in outcome and duration of each request.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        state: fleet_state.FleetState,
+        dispatcher: dispatcher_module.Dispatcher,
+        clock: clock_port.Clock,
+        record: Callable[[str, outcome.Outcome, int], None],
+    ) -> None:
+        self._service = service
+        self._state = state
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._record = record
+
+    def limits(self) -> http_connection.ServerLimits:
+        """Returns the limits in force for callers."""
+        plan = self._state.plan
+        if plan is None:
+            return http_connection.ServerLimits()
+        limits = plan.limits
+        return http_connection.ServerLimits(
+            max_head_bytes=limits.max_head_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            head_timeout_ms=limits.head_timeout_ms,
+            idle_timeout_ms=limits.idle_timeout_ms,
+        )
+
+    def handle(
+        self, found: http_connection.HttpRequest
+    ) -> http_connection.HttpReply:
+        """Answers one request."""
+        started_ns = self._clock.now_ns()
+        request_id = found.get(headers.REQUEST_ID.lower())
+        service, result = self._run(found, request_id, started_ns)
+        took_ns = self._clock.now_ns() - started_ns
+        self._record(service, result, took_ns)
+        _log(request_id, service, result, took_ns // NS_PER_MS)
+        return _reply(result, request_id)
+
+    def _run(
+        self,
+        found: http_connection.HttpRequest,
+        request_id: str,
+        started_ns: int,
+    ) -> tuple[str, outcome.Outcome]:
+        plan = self._state.plan
+        if plan is None:
+            return "", outcome.NotRun(
+                outcome.Reason.NO_OWNER,
+                "no plan is known yet",
+                RETRY_AFTER_MS,
+            )
+        path = found.target.partition("?")[0]
+        host = found.get("host").lower().partition(":")[0]
+        route = plan.match(host, path)
+        if route is None:
+            return "", outcome.NotRun(
+                outcome.Reason.UNKNOWN_SERVICE, "no route matches"
+            )
+        service = self._dispatcher.choose_service(route)
+        req = self._request(found, request_id, route, service, started_ns)
+        if isinstance(req, outcome.NotRun):
+            return service, req
+        return service, self._dispatcher.run(req, max_runs=route.max_attempts)
+
+    def _request(
+        self,
+        found: http_connection.HttpRequest,
+        request_id: str,
+        route: routes.Route,
+        service: str,
+        started_ns: int,
+    ) -> request.Request | outcome.NotRun:
+        """Returns the request as the product sees it, or why it is wrong."""
+        deadline = found.get(headers.DEADLINE.lower()) or str(route.timeout_ms)
+        if not request_id or not _is_number(deadline, MAX_DEADLINE_MS):
+            return _bad("it needs a Request-Id and a whole Deadline-Ms")
+        plan = self._state.plan
+        declared = plan.services.get(service) if plan else None
+        key = ""
+        if declared is not None and declared.keyed:
+            key = found.get(headers.KEY.lower())
+            if not _is_number(key, key_map.LAST_KEY):
+                return _bad("its service needs a key from 0 to 65535")
+        timeout_ms = min(int(deadline), route.timeout_ms)
+        return request.Request(
+            request_id=request_id,
+            service=service,
+            key=key,
+            method=found.method,
+            path=found.target,
+            headers=headers.passed_on(found.headers),
+            body=found.body,
+            idempotent=route.idempotent,
+            deadline_ns=started_ns + timeout_ms * NS_PER_MS,
+            identified=True,
+            attempt=1,
+            priority=route.priority,
+            objective_ms=route.objective_ms,
+            origin=self._service,
+        )
+
+
+def _is_number(text: str, most: int) -> bool:
+    return text.isascii() and text.isdigit() and int(text) <= most
+
+
+def _bad(detail: str) -> outcome.NotRun:
+    return outcome.NotRun(outcome.Reason.BAD_REQUEST, detail)
+
+
+@functools.singledispatch
+def _reply(
+    result: outcome.Outcome, request_id: str
+) -> http_connection.HttpReply:
+    """Returns the answer that tells a caller of an outcome."""
+    raise TypeError(f"no answer for {type(result).__name__}")
+
+
+@_reply.register
+def _(result: outcome.Answered, request_id: str) -> http_connection.HttpReply:
+    return http_connection.HttpReply(
+        result.status, list(result.headers), bytes(result.body)
+    )
+
+
+@_reply.register
+def _(result: outcome.NotRun, request_id: str) -> http_connection.HttpReply:
+    status = _STATUS.get(result.reason, 503)
+    fields = [(headers.REQUEST_ID, request_id)]
+    if status == 503:
+        retry_ms = result.retry_after_ms or RETRY_AFTER_MS
+        fields.append(("Retry-After", f"{retry_ms / 1000:.3f}"))
+    return http_connection.HttpReply(status, fields, _detail(result))
+
+
+@_reply.register
+def _(result: outcome.Unknown, request_id: str) -> http_connection.HttpReply:
+    late = result.reason is outcome.Reason.DEADLINE
+    return http_connection.HttpReply(
+        504 if late else 502,
+        [(headers.REQUEST_ID, request_id)],
+        _detail(result),
+    )
+
+
+def _detail(result: outcome.NotRun | outcome.Unknown) -> bytes:
+    return f"{result.reason.value}: {result.detail}\n".encode()
+
+
+def _log(
+    request_id: str, service: str, result: outcome.Outcome, took_ms: int
+) -> None:
+    """Logs what became of a request, failures at a higher level."""
+    extra = {"request_id": request_id, "service": service, "took_ms": took_ms}
+    if isinstance(result, outcome.Answered):
+        if result.status < 500:
+            _logger.info("answered %d", result.status, extra=extra)
+        else:
+            _logger.warning("answered %d", result.status, extra=extra)
+    elif isinstance(result, outcome.NotRun):
+        _logger.warning(
+            "refused, not run: %s", result.reason.value, extra=extra
+        )
+    else:
+        _logger.error("lost: %s", result.reason.value, extra=extra)
--- /dev/null
+++ b/primrosecross/platform/plan.py
@@ -0,0 +1,160 @@
+"""The operators' configuration object, decoded into a route plan.
+
+Source: PROTOCOL.md, "The operator's API" and "Ingress".
+"""
+
+import msgspec
+
+from primrosecross.domain import errors
+from primrosecross.domain import routes
+from primrosecross.ports import fleet_store
+from primrosecross.ports import store as store_port
+
+KIND = "config"
+NAME = "main"
+DEFAULT_TIMEOUT_MS = 5000.0
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    max_header_bytes: float = 16_384.0
+    max_body_bytes: float = 67_108_864.0
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Weighted(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: float
+
+
+class _Match(msgspec.Struct, rename="pascal"):
+    path_prefix: str
+
+
+class _Action(msgspec.Struct, rename="pascal"):
+    service: str = ""
+    weighted_services: list[_Weighted] = msgspec.field(default_factory=list)
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    max_attempts: float = 1.0
+
+
+class _Rule(msgspec.Struct, rename="pascal"):
+    match: _Match
+    action: _Action
+    name: str = ""
+    kind: str = "unsafe"
+    target_latency_ms: float = 0.0
+    priority: float = 0.0
+
+
+class _Listener(msgspec.Struct, rename="pascal"):
+    host: str
+    rules: list[_Rule] = msgspec.field(default_factory=list)
+
+
+class _Cluster(msgspec.Struct, rename="pascal"):
+    """A service; its targets hold keys if it is sharded."""
+
+    name: str
+    health_path: str = ""
+    max_connections: float = 0.0
+    sharded: bool = False
+    warm_s: float = 0.0
+
+
+class _Config(msgspec.Struct, rename="pascal"):
+    version: float
+    listeners: list[_Listener]
+    clusters: list[_Cluster]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class ConfigSource:
+    """Reads the configuration object of the platform's store.
+
+    Args:
+        store: The platform's store.
+    """
+
+    def __init__(self, *, store: store_port.Store) -> None:
+        self._store = store
+
+    def read_plan(self) -> fleet_store.PlanDocument | None:
+        """Returns the newest route plan."""
+        found = self._store.read(KIND, NAME)
+        if found is None:
+            return None
+        content = msgspec.json.encode(found.spec)
+        try:
+            return self.decode_plan(int(found.version), content)
+        except errors.DocumentError as error:
+            raise errors.StoreObjectError(
+                error.problem, remedy=error.remedy
+            ) from error
+
+    def wait_for_plan(self, revision: int, timeout_ms: int) -> bool:
+        """Waits until the plan has changed since a revision."""
+        return self._store.wait_for_change(KIND, str(revision), timeout_ms)
+
+    def decode_plan(
+        self, revision: int, data: bytes
+    ) -> fleet_store.PlanDocument:
+        """Returns the plan; raises errors.DocumentError."""
+        try:
+            found = msgspec.json.decode(data, type=_Config)
+            plan = _plan(revision, found)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise errors.DocumentError(
+                f"configuration of revision {revision}: {error}",
+                remedy="write a valid one; the last good one stays in force",
+            ) from error
+        return fleet_store.PlanDocument(plan, data)
+
+
+def _plan(revision: int, found: _Config) -> routes.RoutePlan:
+    by_host: dict[str, dict[str, routes.Route]] = {}
+    for listener in found.listeners:
+        host = listener.host.lower()
+        by_prefix = by_host.setdefault(host, {})
+        for rule in listener.rules:
+            by_prefix[rule.match.path_prefix] = _route(host, rule)
+    limits = found.limits
+    return routes.RoutePlan(
+        revision=revision,
+        version=int(found.version),
+        routes=by_host,
+        services={
+            c.name: routes.RoutedService(
+                name=c.name,
+                keyed=c.sharded,
+                health_path=c.health_path,
+                max_connections=int(c.max_connections),
+                warm_up_ms=int(c.warm_s * 1000),
+            )
+            for c in found.clusters
+        },
+        limits=routes.CallerLimits(
+            max_head_bytes=int(limits.max_header_bytes),
+            max_body_bytes=int(limits.max_body_bytes),
+            head_timeout_ms=int(limits.header_timeout_ms),
+            idle_timeout_ms=int(limits.idle_timeout_ms),
+        ),
+    )
+
+
+def _route(host: str, rule: _Rule) -> routes.Route:
+    action = rule.action
+    shares = tuple(
+        routes.Share(w.service, int(w.weight)) for w in action.weighted_services
+    ) or (routes.Share(action.service, 1),)
+    return routes.Route(
+        name=f"{host}{rule.match.path_prefix}",
+        host=host,
+        prefix=rule.match.path_prefix,
+        kind=routes.RequestKind(rule.kind),
+        shares=shares,
+        timeout_ms=int(action.timeout_ms),
+        max_attempts=max(1, int(action.max_attempts)),
+        objective_ms=int(rule.target_latency_ms),
+        priority=int(rule.priority),
+    )
--- a/primrosecross/ports/target.py
+++ b/primrosecross/ports/target.py
@@ -22,6 +22,7 @@
         cancel_path: Path that takes cancellations; empty if it takes none.
         health_path: Path that tells whether it is ready; empty if none.
         load_path: Path that reports its load; empty if none.
+        instance: Identity that the target checks, empty if it has none.
     """
 
     service: str
@@ -32,6 +33,7 @@
     cancel_path: str = ""
     health_path: str = ""
     load_path: str = ""
+    instance: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
