--- a/primrosecross/adapters/json_log.py
+++ b/primrosecross/adapters/json_log.py
@@ -19,6 +19,7 @@
 WINDOW_S = 10.0
 FLUSH_S = 0.2
 MAX_GATHERED = 2000
+WRITE_BYTES = 4096
 MAX_REST_BYTES = 256 * 1024
 MAX_IN_WINDOW = {
     logging.DEBUG: 1000,
@@ -142,13 +143,18 @@
             lines.append(json.dumps({"dropped_lines": self._dropped}))
             self._dropped = 0
         data = self._rest + "".join(f"{line}\n" for line in lines).encode()
-        try:
-            written = os.write(self._descriptor, data) if data else 0
-        except BlockingIOError:
-            written = 0
-        except OSError:  # The reader is gone; there is nobody to tell.
-            written = len(data)
-        self._rest = data[written:][:MAX_REST_BYTES]
+        while data:
+            # Whole lines up to what a pipe takes at once.
+            end = data.rfind(b"\n", 0, WRITE_BYTES) + 1 or WRITE_BYTES
+            try:
+                written = os.write(self._descriptor, data[:end])
+            except BlockingIOError:
+                break
+            except OSError:  # The reader is gone; there is nobody to tell.
+                data = b""
+                break
+            data = data[written:]
+        self._rest = data[:MAX_REST_BYTES]
 
 
 def configure(
--- a/primrosecross/domain/dispatcher.py
+++ b/primrosecross/domain/dispatcher.py
@@ -27,6 +27,7 @@
 ANSWER_MARGIN_MS = 25  # between the target's deadline and the route's timeout
 REPEAT_SHARE = 0.1  # half of the fleet's budget, as calls repeat with them
 REPEAT_RESERVE = 4.0
+SMOOTHING = 0.05
 
 _logger = logging.getLogger(__name__)
 
@@ -95,6 +96,7 @@
 
     Args:
         vm: This VM's name.
+        place: Its availability zone.
         state: Map, plan and directory in force here.
         gate: The gate of the target beside this daemon.
         peers: Other daemons.
@@ -105,6 +107,7 @@
         self,
         *,
         vm: str,
+        place: str,
         state: fleet_state.FleetState,
         gate: key_gate.KeyGate,
         peers: peers_port.Peers,
@@ -115,7 +118,7 @@
         self._gate = gate
         self._peers = peers
         self._clock = clock
-        self._choice = gate_choice.GateChoice(clock=clock)
+        self._choice = gate_choice.GateChoice(place=place, clock=clock)
         self._budgets: dict[str, retry.RetryBudget] = collections.defaultdict(
             functools.partial(
                 retry.RetryBudget,
@@ -125,6 +128,7 @@
             )
         )
         self._turns: dict[str, dict[str, float]] = {}
+        self._usual_ms: dict[str, float] = {}
 
     def choose_service(self, route: routes.Route) -> str:
         """Returns the service whose turn it is on a route, by weight.
@@ -162,7 +166,7 @@
             result = self._attempt(vm, req)
             attempts.note(result)
             step = self._next(req, vm, result, attempts, max_runs)
-            if step is _Next.REPEAT and not budget.withdraw():
+            if step is _Next.REPEAT and not self._may_repeat(req, budget):
                 step = _Next.RETURN
             if step is _Next.RETURN or self._left_ms(req) <= 0:
                 return _final(result, attempts)
@@ -170,6 +174,17 @@
                 self._state.wait(MOVE_LOOK_MS / 1000)
             attempts.tried.add(vm)
 
+    def _may_repeat(
+        self, req: request.Request, budget: retry.RetryBudget
+    ) -> bool:
+        """Tells whether another run fits into the deadline and the budget."""
+        usual_ms = self._usual_ms.get(req.service, 0.0)
+        return self._left_ms(req) > usual_ms and budget.withdraw()
+
+    def _note_usual(self, service: str, took_ms: float) -> None:
+        known = self._usual_ms.get(service, took_ms)
+        self._usual_ms[service] = known + SMOOTHING * (took_ms - known)
+
     def _place(self, req: request.Request, attempts: _Attempts) -> str:
         if req.key:
             _, holder = self._state.key_map.find(req.service, int(req.key))
@@ -203,8 +218,10 @@
                 result = self._forward(vm, req)
             return result
         finally:
-            took_ns = self._clock.now_ns() - started_ns
-            self._choice.ended(vm, result, took_ns / NS_PER_MS)
+            took_ms = (self._clock.now_ns() - started_ns) / NS_PER_MS
+            self._choice.ended(vm, result, took_ms)
+            if isinstance(result, outcome.Answered):
+                self._note_usual(req.service, took_ms)
 
     def _forward(self, vm: str, req: request.Request) -> outcome.Outcome:
         left_ms = self._left_ms(req)
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -80,6 +80,7 @@
         self._make_ownership()
         self.dispatcher = dispatcher_module.Dispatcher(
             vm=identity.vm,
+            place=identity.place,
             state=self.state,
             gate=self.gate,
             peers=ports.peers,
--- a/primrosecross/domain/follower.py
+++ b/primrosecross/domain/follower.py
@@ -24,7 +24,7 @@
 
 SYNC_MS = 400
 SYNC_TIMEOUT_MS = 400
-STALE_PROOF_MS = 1600  # four syncs
+STALE_PROOF_MS = 2200  # a read of the coordinator and two syncs missed
 SILENT_MS = 1000  # then a coordinator counts as out of reach
 STALE_OFFICE_MS = 2500
 FIND_MS = 500
--- a/primrosecross/domain/gate_choice.py
+++ b/primrosecross/domain/gate_choice.py
@@ -17,6 +17,7 @@
 FIRST_REST_MS = 150
 MAX_REST_MS = 2400
 COLD_FACTOR = 2.0
+REMOTE_FACTOR = 1.3  # bytes between zones cost; a near target waits longer
 FIRST_LATENCY_MS = 50.0
 _READY = "ready"
 _BUSY = frozenset({outcome.Reason.OVERLOADED})
@@ -34,10 +35,12 @@
     """What this daemon has seen of other VMs' targets.
 
     Args:
+        place: Availability zone of this VM.
         clock: Clock for answer times.
     """
 
-    def __init__(self, *, clock: clock_port.Clock) -> None:
+    def __init__(self, *, place: str, clock: clock_port.Clock) -> None:
+        self._place = place
         self._clock = clock
         self._seen: dict[str, _Seen] = {}
 
@@ -64,7 +67,11 @@
             return ""
         now_ns = self._clock.now_ns()
         awake = [e for e in able if self._of(e.vm).rests_until_ns <= now_ns]
-        drawn = random.sample(awake or able, min(2, len(awake or able)))
+        rested = awake or able
+        drawn = random.sample(rested, min(2, len(rested)))
+        near = [e for e in rested if e.place == self._place]
+        if near:
+            drawn.append(random.choice(near))
         chosen = min(drawn, key=self._expected_ms).vm
         seen = self._of(chosen)
         if seen.failures:  # One request finds out whether it works again.
@@ -77,6 +84,8 @@
     def _expected_ms(self, entry: fleet_messages.VmEntry) -> float:
         seen = self._of(entry.vm)
         factor = COLD_FACTOR if entry.cold else 1.0
+        if entry.place != self._place:
+            factor *= REMOTE_FACTOR
         waits = (seen.in_flight + 1) / max(1, entry.slots)
         return (1 + waits) * seen.latency_ms * factor
 
--- a/primrosecross/domain/proof.py
+++ b/primrosecross/domain/proof.py
@@ -84,5 +84,7 @@
 
         The target measures it on a clock that may run slow.
         """
+        if self._newest is None:
+            return 0
         left_ms = self._lease_ms - self.age_ms()
         return max(0, int(left_ms * (1 - DRIFT_SHARE)))
--- a/primrosecross/domain/range_decisions.py
+++ b/primrosecross/domain/range_decisions.py
@@ -287,7 +287,10 @@
         return table.replaced(changes) if changes else table
 
     def _leaves(self, life: str) -> bool:
-        seen = self._situation.seen.get(self._holders[life].vm)
+        holder = self._holders.get(life)
+        if holder is None:  # It was given keys in this very decision.
+            return False
+        seen = self._situation.seen.get(holder.vm)
         if seen is None or seen.target is None or seen.target.life != life:
             return False
         draining = check_in.TargetState.DRAINING.value
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -32,6 +32,7 @@
 READY_PATH = "/api/readyz"
 METRICS_PATH = "/metrics"
 RELOAD_LOOK_S = 2.0
+FIGURES_S = 10.0
 STOP_LOOK_S = 0.1
 UNREADY_MS = 2200  # two questions a second apart take a VM out
 STOP_MARGIN_MS = 600
@@ -206,6 +207,22 @@
         self._callers.start()
         self._node.start()
         gevent.spawn(self._watch_settings)
+        gevent.spawn(self._log_figures)
+
+    def _log_figures(self) -> None:
+        """Logs what this process did, so that logs alone show its load."""
+        while True:
+            gevent.sleep(FIGURES_S)
+            _logger.info(
+                "requests %s, store calls %s, running %d, waiting %d, "
+                "proof %.0f ms old, target connections %d",
+                {"/".join(k): n for k, n in self._meter.counts().items()},
+                self._store.calls_by_kind,
+                self._node.gate.queue.running,
+                self._node.gate.queue.waiting,
+                self._node.lease.age_ms(),
+                self._targets.opened,
+            )
 
     def _watch_settings(self) -> None:
         """Notes changed settings, also when no signal tells of them."""
--- a/primrosecross/platform/store.py
+++ b/primrosecross/platform/store.py
@@ -66,6 +66,11 @@
         """Calls made so far; a watch counts as one."""
         return self._budget.total()
 
+    @property
+    def calls_by_kind(self) -> dict[str, int]:
+        """Calls made so far by what they did."""
+        return dict(self._budget.counts)
+
     def read(self, kind: str, name: str) -> store_port.StoredObject | None:
         """Returns an object, or None when it does not exist."""
         status, body = self._call("GET", _path(kind, name))
--- /dev/null
+++ b/tests/fleet_fakes.py
@@ -0,0 +1,277 @@
+"""Fakes for daemons on a platform store: one clock, one store, memory peers."""
+
+import dataclasses
+
+import gevent
+
+from primrosecross.adapters import fleet_archive
+from primrosecross.domain import check_in
+from primrosecross.domain import errors
+from primrosecross.domain import fleet_messages
+from primrosecross.domain import key_map
+from primrosecross.domain import messages
+from primrosecross.domain import outcome
+from primrosecross.domain import range_decisions
+from primrosecross.domain import request
+from primrosecross.domain import routes
+from primrosecross.ports import fleet_store
+from primrosecross.ports import store as store_port
+from tests import fakes
+
+
+class MemoryStore:
+    """A store of objects by kind and name; calls can be made to fail."""
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], store_port.StoredObject] = {}
+        self.revision = 0
+        self.down = False
+        self.lose_answers = False
+        self.calls = 0
+
+    def _begin(self) -> None:
+        self.calls += 1
+        if self.down:
+            raise errors.StoreUnavailableError("down", remedy="wait")
+
+    def read(self, kind: str, name: str) -> store_port.StoredObject | None:
+        """Returns an object."""
+        self._begin()
+        return self.objects.get((kind, name))
+
+    def create(self, kind: str, name: str, spec: dict) -> object:
+        """Creates an object."""
+        self._begin()
+        if (kind, name) in self.objects:
+            raise errors.StoreConflictError("exists", remedy="read it")
+        return self._put(kind, name, spec)
+
+    def update(self, kind: str, name: str, spec: dict, version: str) -> object:
+        """Replaces an object on condition."""
+        self._begin()
+        found = self.objects.get((kind, name))
+        if found is None or found.version != version:
+            raise errors.StoreConflictError("changed", remedy="read it")
+        return self._put(kind, name, spec)
+
+    def _put(self, kind: str, name: str, spec: dict) -> object:
+        self.revision += 1
+        self.objects[kind, name] = store_port.StoredObject(
+            kind, name, str(self.revision), spec
+        )
+        if self.lose_answers:
+            raise errors.StoreAnswerLostError("lost", remedy="read it")
+        return self.objects[kind, name]
+
+    def wait_for_change(self, kind: str, version: str, timeout_ms: int) -> bool:
+        """Never sees a change."""
+        self._begin()
+        return False
+
+
+def archive(store: MemoryStore) -> fleet_archive.FleetArchive:
+    """Returns the typed view of a store."""
+    return fleet_archive.FleetArchive(store=store)
+
+
+class NoPlans:
+    """A source without any plan."""
+
+    def read_plan(self) -> fleet_store.PlanDocument | None:
+        """Returns nothing."""
+        return None
+
+    def wait_for_plan(self, revision: int, timeout_ms: int) -> bool:
+        """Sees no change."""
+        return False
+
+    def decode_plan(self, revision: int, data: bytes) -> object:
+        """Decodes nothing."""
+        raise errors.DocumentError("no plan", remedy="send none")
+
+
+class Peers:
+    """Peers whose answers are functions by VM."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, object] = {}
+        self.addresses: dict[str, str] = {}
+        self.sent: list[tuple[str, messages.Message]] = []
+
+    def learn_address(self, vm: str, address: str) -> None:
+        """Takes an address."""
+        self.addresses[vm] = address
+
+    def call(
+        self, vm: str, message: messages.Message, *, timeout_ms: int
+    ) -> messages.Message:
+        """Has the VM's function answer."""
+        self.sent.append((vm, message))
+        if vm not in self.handlers:
+            raise errors.PeerUnsentError(f"{vm} is away", remedy="wait")
+        return self.handlers[vm](message)
+
+
+class Targets:
+    """A target whose outcomes are a function of the request."""
+
+    def __init__(self) -> None:
+        self.answer = lambda req: outcome.Answered(200, (), b"ok")
+        self.alive = True
+        self.ran: list[request.Request] = []
+
+    def run(self, announcement: object, req: request.Request, fence: object):
+        """Runs a request."""
+        self.ran.append(req)
+        return self.answer(req)
+
+    def listens(self, announcement: object) -> bool:
+        """Tells whether the target is there."""
+        return self.alive
+
+    def forget(self, announcement: object) -> None:
+        """Forgets."""
+
+
+def beat(
+    sequence: int = 1,
+    *,
+    instance: str = "i-1",
+    born_ms: int = 1000,
+    held: tuple[tuple[int, int, int], ...] = (),
+    released: tuple[tuple[int, int, str], ...] = (),
+    state: check_in.TargetState = check_in.TargetState.READY,
+    service: str = "desk",
+) -> check_in.CheckIn:
+    """Returns a heartbeat."""
+    return check_in.CheckIn(
+        instance=instance,
+        born_ms=born_ms,
+        sequence=sequence,
+        service=service,
+        address="127.0.0.1:1",
+        slots=2,
+        state=state,
+        held=tuple(check_in.HeldRange(*h) for h in held),
+        released=tuple(check_in.ReleasedRange(*r) for r in released),
+    )
+
+
+def target(
+    life: str = "i-1@1000",
+    *,
+    state: str = "ready",
+    forfeited: int = 0,
+    given_back: tuple[fleet_messages.GivenBack, ...] = (),
+    service: str = "desk",
+    typical_ms: int = 100,
+) -> fleet_messages.TargetReport:
+    """Returns the report of a target."""
+    return fleet_messages.TargetReport(
+        life=life,
+        born_ms=int(life.partition("@")[2]),
+        service=service,
+        slots=10,
+        state=state,
+        cold=False,
+        typical_ms=typical_ms,
+        forfeited=forfeited,
+        given_back=given_back,
+    )
+
+
+def sync(vm: str, *targets: fleet_messages.TargetReport, **changed: object):
+    """Returns a report of a daemon."""
+    plain = fleet_messages.Sync(
+        vm=vm,
+        place="a",
+        address=f"{vm}:1",
+        incarnation="p1",
+        stopping=False,
+        map_version=0,
+        plan_revision=0,
+        directory="",
+        directory_number=0,
+        targets=targets,
+        key_counts=(),
+    )
+    return dataclasses.replace(plain, **changed)
+
+
+def seen(
+    vm: str,
+    *targets: fleet_messages.TargetReport,
+    lost: bool = False,
+    settled: bool = True,
+    stopping: bool = False,
+) -> range_decisions.Seen:
+    """Returns what a coordinator knows of a VM."""
+    report = sync(vm, *targets, stopping=stopping)
+    return range_decisions.Seen(report=report, lost=lost, settled=settled)
+
+
+def situation(*all_seen: range_decisions.Seen, **changed: object):
+    """Returns a situation with one keyed service, "desk"."""
+    plain = range_decisions.Situation(
+        seen={s.report.vm: s for s in all_seen},
+        keyed_services=("desk",),
+        loads={},
+        expired=frozenset(),
+        may_begin=True,
+    )
+    return dataclasses.replace(plain, **changed)
+
+
+def map_of(
+    *ranges: key_map.KeyRange, version: int = 5, vms: dict[str, str]
+) -> key_map.KeyMap:
+    """Returns a map of "desk"; vms names the VM of each life."""
+    return key_map.KeyMap(
+        version=version,
+        holders={
+            life: key_map.Holder(life, vm, "desk") for life, vm in vms.items()
+        },
+        tables={"desk": key_map.RangeTable(ranges)},
+    )
+
+
+def plain_request(**changed: object) -> request.Request:
+    """Returns a request that may run twice."""
+    plain = request.Request(
+        request_id="r-1",
+        service="desk",
+        key="",
+        method="GET",
+        path="/a/b",
+        headers=(),
+        body=b"",
+        idempotent=True,
+        deadline_ns=fakes.ManualClock().now_ns() + 2_000_000_000,
+        objective_ms=300,
+    )
+    return dataclasses.replace(plain, **changed)
+
+
+def route(**changed: object) -> routes.Route:
+    """Returns a route of "desk"."""
+    plain = routes.Route(
+        name="r",
+        host="h.example",
+        prefix="/a/",
+        kind=routes.RequestKind.SAFE,
+        shares=(routes.Share("desk", 1),),
+        timeout_ms=1000,
+        max_attempts=2,
+        objective_ms=300,
+        priority=1,
+    )
+    return dataclasses.replace(plain, **changed)
+
+
+class GeventClock(fakes.ManualClock):
+    """A manual clock whose sleep lets other tasks run."""
+
+    def sleep(self, duration_ms: float) -> None:
+        """Moves the time on and lets others run."""
+        self.advance(duration_ms)
+        gevent.sleep(0)
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,275 @@
+"""Bringing requests to targets: places, repeats, moves and outcomes."""
+
+import collections
+import unittest
+
+from primrosecross.domain import dispatcher
+from primrosecross.domain import fleet_messages
+from primrosecross.domain import fleet_state
+from primrosecross.domain import key_gate
+from primrosecross.domain import key_map
+from primrosecross.domain import outcome
+from primrosecross.domain import proof
+from primrosecross.domain import quarantine
+from primrosecross.domain import request_messages
+from primrosecross.domain import routes
+from primrosecross.domain import target_watch
+from tests import fleet_fakes
+
+_LAST = key_map.LAST_KEY
+
+
+def _entry(vm: str, *, state: str = "ready", place: str = "a"):
+    return fleet_messages.VmEntry(vm, place, f"{vm}:1", "desk", 2, state, False)
+
+
+def _answered(forward: request_messages.Forward, status: int = 200):
+    return request_messages.ForwardAnswered(
+        forward.request_id, status, (), b"there"
+    )
+
+
+def _not_run(forward: request_messages.Forward, reason: outcome.Reason):
+    return request_messages.ForwardNotRun(
+        forward.request_id, reason.value, "refused", 100
+    )
+
+
+def _lost(forward: request_messages.Forward):
+    return request_messages.ForwardUnknown(
+        forward.request_id, outcome.Reason.ANSWER_LOST.value, "lost"
+    )
+
+
+class DispatcherTest(unittest.TestCase):
+    """One daemon "a" beside a target, and others at "b" and "c"."""
+
+    def setUp(self) -> None:
+        self.clock = fleet_fakes.GeventClock()
+        self.state = fleet_state.FleetState()
+        self.peers = fleet_fakes.Peers()
+        self.targets = fleet_fakes.Targets()
+        self.lease = proof.ProofLease(clock=self.clock)
+        self.watch = target_watch.TargetWatch(
+            lease=self.lease,
+            key_map=lambda: self.state.key_map,
+            max_hold_ms=10_000,
+            clock=self.clock,
+            changed=lambda: None,
+        )
+        self.gate = key_gate.KeyGate(
+            watch=self.watch,
+            key_map=lambda: self.state.key_map,
+            targets=self.targets,
+            quarantine=quarantine.Quarantine(
+                vm="a",
+                members=list,
+                peers=self.peers,
+                clock=self.clock,
+                timeline=None,
+            ),
+            clock=self.clock,
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            vm="a",
+            place="a",
+            state=self.state,
+            gate=self.gate,
+            peers=self.peers,
+            clock=self.clock,
+        )
+
+    def _know(self, *entries: fleet_messages.VmEntry) -> None:
+        self.state.take_entries(entries, anew=True)
+
+    def _run(self, max_runs: int = 2, **changed: object) -> outcome.Outcome:
+        return self.dispatcher.run(
+            fleet_fakes.plain_request(**changed), max_runs=max_runs
+        )
+
+    def _forwards(self) -> list[str]:
+        return [
+            vm
+            for vm, message in self.peers.sent
+            if isinstance(message, request_messages.Forward)
+        ]
+
+    def test_a_request_reaches_another_vm_and_its_answer_comes_back(self):
+        self._know(_entry("b"))
+        self.peers.handlers["b"] = _answered
+        self.assertEqual(self._run().body, b"there")
+
+    def test_what_did_not_run_goes_elsewhere(self):
+        self._know(_entry("b"), _entry("c"))
+        self.peers.handlers["b"] = self.peers.handlers["c"] = lambda f: (
+            _not_run(f, outcome.Reason.OVERLOADED)
+        )
+        result = self._run(idempotent=False)
+        self.assertEqual(result.reason, outcome.Reason.NO_OWNER)
+        self.assertEqual(sorted(self._forwards()), ["b", "c"])
+
+    def test_a_lost_answer_is_repeated_only_if_that_is_harmless(self):
+        self._know(_entry("b"), _entry("c"))
+        self.peers.handlers["b"] = self.peers.handlers["c"] = _lost
+        result = self._run(idempotent=False)
+        self.assertIsInstance(result, outcome.Unknown)
+        self.assertEqual(len(self._forwards()), 1)
+        self._run(idempotent=True)
+        self.assertEqual(len(self._forwards()), 3)
+
+    def test_a_refusal_after_a_loss_does_not_say_not_run(self):
+        self._know(_entry("b"), _entry("c"))
+        replies = collections.deque([_lost])
+
+        def answer(forward):
+            if replies:
+                return replies.popleft()(forward)
+            return _not_run(forward, outcome.Reason.OVERLOADED)
+
+        self.peers.handlers["b"] = self.peers.handlers["c"] = answer
+        self.assertIsInstance(self._run(), outcome.Unknown)
+
+    def test_repeats_stay_within_the_routes_attempts(self):
+        self._know(*(_entry(vm) for vm in "bcdef"))
+        for vm in "bcdef":
+            self.peers.handlers[vm] = lambda f: _answered(f, 500)
+        self._run(max_runs=2)
+        self.assertEqual(len(self._forwards()), 2)
+
+    def test_no_repeat_begins_that_cannot_end_in_time(self):
+        self._know(_entry("b"), _entry("c"))
+
+        def slowly(forward):
+            self.clock.advance(1500)
+            return _answered(forward, 500)
+
+        self.peers.handlers["b"] = self.peers.handlers["c"] = slowly
+        self.assertEqual(self._run().status, 500)
+        self.assertEqual(len(self._forwards()), 1)
+
+    def test_repeats_are_a_small_share_of_the_requests(self):
+        """Targets that fail part of their requests (srv_grey)."""
+        self._know(*(_entry(vm) for vm in "bcd"))
+        for vm in "bcd":
+            self.peers.handlers[vm] = lambda f: _answered(f, 500)
+        for _ in range(200):
+            self._run()
+        self.assertLess(len(self._forwards()) - 200, 0.2 * 200)
+
+    def test_a_key_follows_its_holder_to_another_vm(self):
+        self._know(_entry("b"), _entry("c"))
+        self.state.offer_map(
+            fleet_fakes.map_of(
+                key_map.KeyRange(0, _LAST, "i-2@1", 3),
+                vms={"i-2@1": "b"},
+            )
+        )
+
+        def moved(forward):
+            self.state.offer_map(
+                fleet_fakes.map_of(
+                    key_map.KeyRange(0, _LAST, "i-3@1", 6),
+                    version=6,
+                    vms={"i-3@1": "c"},
+                )
+            )
+            return _not_run(forward, outcome.Reason.NOT_OWNER)
+
+        self.peers.handlers["b"] = moved
+        self.peers.handlers["c"] = _answered
+        self.assertEqual(self._run(key="7").body, b"there")
+        self.assertEqual(self._forwards(), ["b", "c"])
+
+    def test_a_key_of_a_lost_vm_is_refused_at_once(self):
+        self._know(_entry("b", state="lost"))
+        self.state.offer_map(
+            fleet_fakes.map_of(
+                key_map.KeyRange(0, _LAST, "i-2@1", 3), vms={"i-2@1": "b"}
+            )
+        )
+        began_ns = self.clock.now_ns()
+        self.assertIsInstance(self._run(key="7"), outcome.NotRun)
+        self.assertEqual(self.clock.now_ns(), began_ns)
+
+    def test_weights_hold_over_a_few_requests(self):
+        split = fleet_fakes.route(
+            shares=(routes.Share("x", 90), routes.Share("y", 10))
+        )
+        chosen = collections.Counter(
+            self.dispatcher.choose_service(split) for _ in range(20)
+        )
+        self.assertEqual(chosen, {"x": 18, "y": 2})
+
+    def test_a_service_of_weight_zero_gets_nothing(self):
+        split = fleet_fakes.route(
+            shares=(routes.Share("x", 0), routes.Share("y", 10))
+        )
+        self.assertEqual(self.dispatcher.choose_service(split), "y")
+
+    def test_near_targets_are_preferred_while_they_are_as_quick(self):
+        self._know(_entry("b", place="far"), _entry("c", place="a"))
+        self.peers.handlers["b"] = self.peers.handlers["c"] = _answered
+        for _ in range(20):
+            self._run()
+        self.assertEqual(set(self._forwards()), {"c"})
+
+
+class GateTest(DispatcherTest):
+    """The gate of the target beside the daemon."""
+
+    def _check_in(self, **changed: object) -> None:
+        self.watch.take(fleet_fakes.beat(**changed))
+        self.gate.queue.set_slots(2)
+        self._know(_entry("a"))
+
+    def _grant(self) -> None:
+        self.state.offer_map(
+            fleet_fakes.map_of(
+                key_map.KeyRange(0, _LAST, "i-1@1000", 3),
+                vms={"i-1@1000": "a"},
+            )
+        )
+        self.lease.offer(proof.Proof(5, self.clock.now_ns()), map_version=5)
+
+    def test_a_key_that_is_held_runs(self):
+        self._grant()
+        self._check_in()
+        self.assertEqual(self._run(key="7").body, b"ok")
+        self.assertEqual(self.gate.take_counts(), ((7, 1),))
+
+    def test_a_key_that_is_not_held_does_not_run(self):
+        self._check_in()
+        refused = self.gate.run(fleet_fakes.plain_request(key="7"))
+        self.assertEqual(refused.reason, outcome.Reason.NOT_OWNER)
+        self.assertEqual(self.targets.ran, [])
+
+    def test_a_leaving_target_gets_nothing(self):
+        self._check_in()
+        self.watch.leave("i-1")
+        refused = self.gate.run(fleet_fakes.plain_request())
+        self.assertEqual(refused.reason, outcome.Reason.LEAVING)
+        self.assertEqual(self.targets.ran, [])
+
+    def test_a_request_that_crashes_targets_is_refused_the_third_time(self):
+        self._check_in()
+        self.targets.alive = False
+        self.targets.answer = lambda req: outcome.Unknown(
+            outcome.Reason.ANSWER_LOST, "reset"
+        )
+        self.gate._quarantine._timeline = _Timeline()
+        for born_ms in (1000, 2000):
+            self._check_in(born_ms=born_ms)
+            result = self.gate.run(fleet_fakes.plain_request())
+            self.assertEqual(result.reason, outcome.Reason.TARGET_CRASHED)
+            self.clock.advance(1000)
+        self._check_in(born_ms=3000)
+        refused = self.gate.run(fleet_fakes.plain_request())
+        self.assertEqual(refused.reason, outcome.Reason.QUARANTINED)
+        self.assertEqual(len(self.targets.ran), 2)
+
+
+class _Timeline:
+    """A time line that keeps nothing."""
+
+    def record(self, event: object) -> None:
+        """Takes an event."""
--- /dev/null
+++ b/tests/test_key_map.py
@@ -0,0 +1,99 @@
+"""Ranges of keys, and their encoding."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from primrosecross.adapters import fleet_archive
+from primrosecross.domain import errors
+from primrosecross.domain import key_map
+from tests import fleet_fakes
+
+_LAST = key_map.LAST_KEY
+
+
+class RangeTableTest(unittest.TestCase):
+    """Finding and replacing ranges."""
+
+    def test_replacing_a_middle_keeps_both_ends(self):
+        table = key_map.RangeTable.free().replaced(
+            [key_map.KeyRange(100, 199, "x", 7)]
+        )
+        bounds = [(r.first, r.last, r.holder) for r in table.ranges]
+        self.assertEqual(
+            bounds, [(0, 99, ""), (100, 199, "x"), (200, _LAST, "")]
+        )
+
+    def test_equal_neighbours_are_joined(self):
+        table = key_map.RangeTable.free().replaced(
+            [key_map.KeyRange(100, 199, "x", 7)]
+        )
+        table = table.replaced([key_map.KeyRange(200, 300, "x", 7)])
+        self.assertEqual(table.find(250).first, 100)
+
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, _LAST),
+                strategies.integers(0, _LAST),
+                strategies.sampled_from("xyz"),
+            ),
+            max_size=12,
+        ),
+        strategies.integers(0, _LAST),
+    )
+    def test_every_key_has_one_range_and_the_last_change_wins(
+        self, changes, key
+    ):
+        table = key_map.RangeTable.free()
+        expected = ""
+        for one, other, holder in changes:
+            first, last = min(one, other), max(one, other)
+            table = table.replaced([key_map.KeyRange(first, last, holder, 1)])
+            if first <= key <= last:
+                expected = holder
+        self.assertEqual(table.find(key).holder, expected)
+        self.assertEqual(sum(r.size for r in table.ranges), _LAST + 1)
+
+
+class ArchiveTest(unittest.TestCase):
+    """The map as an object of a store."""
+
+    def setUp(self) -> None:
+        self.store = fleet_fakes.MemoryStore()
+        self.archive = fleet_archive.FleetArchive(store=self.store)
+        self.map = fleet_fakes.map_of(
+            key_map.KeyRange(0, 99, "i-1@5", 3, "t", "i-2@6"),
+            key_map.KeyRange(100, _LAST),
+            vms={"i-1@5": "a", "i-2@6": "b"},
+        )
+
+    def test_a_written_map_is_read_as_it_was(self):
+        version = self.archive.write_map(self.map, "")
+        found, found_version = self.archive.read_map()
+        self.assertEqual(found_version, version)
+        self.assertEqual(found.holders, self.map.holders)
+        self.assertEqual(
+            found.tables["desk"].ranges, self.map.tables["desk"].ranges
+        )
+        sent = self.archive.decode_map(self.archive.encode_map(self.map))
+        self.assertEqual(sent.holders, self.map.holders)
+
+    def test_a_write_whose_answer_is_lost_counts_if_it_took_effect(self):
+        self.store.lose_answers = True
+        self.assertEqual(self.archive.write_map(self.map, ""), "1")
+
+    def test_gaps_and_foreign_rows_are_refused(self):
+        self.archive.write_map(self.map, "")
+        kind = (fleet_archive.MAPS, fleet_archive.NAME)
+        spec = self.store.objects[kind].spec
+        for broken in (
+            {**spec, "version": "x"},
+            {**spec, "tables": {"desk": [[0, 5, 0, 1, "", 0]]}},
+            {**spec, "tables": {"desk": [[0, _LAST, 9, 1, "", 0]]}},
+        ):
+            self.store.revision += 1
+            self.store._put(*kind, broken)
+            with self.assertRaises(errors.StoreObjectError):
+                self.archive.read_map()
--- /dev/null
+++ b/tests/test_slot_queue.py
@@ -0,0 +1,83 @@
+"""Slots of a target under load."""
+
+import unittest
+
+import gevent
+
+from primrosecross.domain import outcome
+from primrosecross.domain import run_times
+from primrosecross.domain import slot_queue
+from tests import fakes
+from tests import fleet_fakes
+
+
+class SlotQueueTest(unittest.TestCase):
+    """Who runs, waits and is refused."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.ManualClock()
+        self.times = run_times.RunTimes()
+        for _ in range(50):
+            self.times.record(fleet_fakes.plain_request(), 100.0)
+        self.queue = slot_queue.SlotQueue(clock=self.clock, times=self.times)
+        self.queue.set_slots(2)
+
+    def _enter(self, **changed: object) -> gevent.Greenlet:
+        req = fleet_fakes.plain_request(**changed)
+        task = gevent.spawn(self.queue.enter, req)
+        gevent.sleep(0)
+        return task
+
+    def test_free_slots_are_given_at_once(self):
+        self.assertIsInstance(self._enter().get(), slot_queue.Slot)
+        self.assertIsInstance(self._enter().get(), slot_queue.Slot)
+        self.assertEqual(self.queue.running, 2)
+
+    def test_what_could_only_be_late_is_refused_at_once(self):
+        """A crest (burst): far more requests than slots."""
+        tasks = [self._enter() for _ in range(40)]
+        refused = [t for t in tasks if isinstance(t.value, outcome.NotRun)]
+        self.assertGreater(len(refused), 30)
+        self.assertGreater(refused[0].value.retry_after_ms, 0)
+        gevent.killall(tasks)
+
+    def test_the_urgent_go_first(self):
+        held = [self._enter() for _ in range(2)]
+        later = self._enter(priority=2)
+        urgent = self._enter(priority=1)
+        self.queue.leave(held[0].get())
+        gevent.sleep(0)
+        self.assertTrue(urgent.ready())
+        self.assertFalse(later.ready())
+        gevent.killall([later])
+
+    def test_a_waiter_whose_time_is_up_is_not_run(self):
+        held = [self._enter() for _ in range(2)]
+        waiting = self._enter()
+        self.clock.advance(1000)
+        self.queue.leave(held[0].get())
+        self.assertIsInstance(waiting.get(), outcome.NotRun)
+
+    def test_a_caller_who_leaves_frees_the_place(self):
+        held = [self._enter() for _ in range(2)]
+        waiting = self._enter()
+        waiting.kill()
+        self.assertEqual(self.queue.waiting, 0)
+        self.queue.leave(held[0].get())
+        self.assertEqual(self.queue.running, 1)
+
+    def test_a_slot_given_to_a_caller_who_just_left_is_given_back(self):
+        def run() -> None:
+            slot = self.queue.enter(fleet_fakes.plain_request())
+            try:
+                gevent.sleep(60)
+            finally:
+                self.queue.leave(slot)
+
+        held = [self._enter() for _ in range(2)]
+        waiting = gevent.spawn(run)
+        gevent.sleep(0)
+        self.assertEqual(self.queue.waiting, 1)
+        self.queue.leave(held[0].get())
+        waiting.kill()
+        self.assertEqual((self.queue.running, self.queue.waiting), (1, 0))
