--- a/primrosecross/adapters/http_connection.py
+++ b/primrosecross/adapters/http_connection.py
@@ -40,12 +40,14 @@
         target: Path and query as sent.
         headers: Names as sent, with their values in order.
         body: The whole body.
+        keep_alive: Whether the caller lets the connection go on.
     """
 
     method: str = ""
     target: str = ""
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     body: bytes = b""
+    keep_alive: bool = True
 
     def get(self, name: str) -> str:
         """Returns the first header of a lower-case name, empty if absent."""
@@ -108,7 +110,6 @@
     def __init__(self, limits: ServerLimits) -> None:
         self.limits = limits
         self.complete: list[HttpRequest] = []
-        self.keep_alive = True
         self.begun = False
         self._request = HttpRequest()
         self._target: list[bytes] = []
@@ -194,7 +195,7 @@
     def on_message_complete(self) -> None:
         self._request.body = b"".join(self._pieces)
         self._pieces.clear()
-        self.keep_alive = self._parser.should_keep_alive()
+        self._request.keep_alive = self._parser.should_keep_alive()
         self.begun = False
         self.complete.append(self._request)
 
@@ -231,6 +232,11 @@
         self.in_flight = 0
         self.closing = False
 
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._server.server_port
+
     def start(self) -> None:
         """Begins to listen; raises OSError when the port is taken."""
         self._server.start()
@@ -264,7 +270,7 @@
             reply = self._answer(sock, request)
             if reply is None:
                 return
-            close = reply.close or self.closing or not parser.keep_alive
+            close = reply.close or self.closing or not request.keep_alive
             self._send(sock, reply, close=close, method=request.method)
             if close:
                 return
--- /dev/null
+++ b/tests/test_http_framing.py
@@ -0,0 +1,202 @@
+"""The HTTP server refuses what two parsers could read differently."""
+
+import itertools
+import re
+import unittest
+
+import gevent
+from gevent import socket
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from primrosecross.adapters import http_client
+from primrosecross.adapters import http_connection
+from primrosecross.domain import errors
+
+_REFUSED = {
+    "two lengths": b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+    b"Content-Length: 2\r\n\r\nab",
+    "signed length": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length: +5\r\n\r\nabcde",
+    "space before colon": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length : 0\r\n\r\n",
+    "folded header": b"GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n",
+    "bare LF": b"GET / HTTP/1.1\nHost: h\n\n",
+    "no version": b"GET /\r\n\r\n",
+    "unknown version": b"GET / HTTP/3.7\r\nHost: h\r\n\r\n",
+    "unknown coding": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "coding beside chunked": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "both framings": b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "bad chunk": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+    "chunk without end": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n3\r\nabcX0\r\n\r\n",
+    "no host": b"GET / HTTP/1.1\r\n\r\n",
+    "two hosts": b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+    "NUL in a header": b"GET / HTTP/1.1\r\nHost: h\r\nA: \x00\r\n\r\n",
+    "space in the target": b"GET /a b HTTP/1.1\r\nHost: h\r\n\r\n",
+}
+_SECOND = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class FramingTest(unittest.TestCase):
+    """One server, raw bytes."""
+
+    def setUp(self) -> None:
+        self.seen: list[http_connection.HttpRequest] = []
+        self.server = http_connection.HttpServer(
+            listen=("127.0.0.1", 0), handle=self._handle, limits=self._limits
+        )
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.address = ("127.0.0.1", self.server.port)
+        self.left = 0
+
+    def _limits(self) -> http_connection.ServerLimits:
+        return http_connection.ServerLimits(
+            max_head_bytes=2000,
+            max_body_bytes=10_000,
+            head_timeout_ms=200,
+            idle_timeout_ms=400,
+        )
+
+    def _handle(
+        self, found: http_connection.HttpRequest
+    ) -> http_connection.HttpReply:
+        self.seen.append(found)
+        if found.target == "/slow":
+            try:
+                gevent.sleep(5)
+            except gevent.GreenletExit:
+                self.left += 1
+                raise
+        return http_connection.HttpReply(200, [], b"ok")
+
+    def _exchange(self, data: bytes, *, end: bool = False) -> bytes:
+        with socket.create_connection(self.address, timeout=2) as sock:
+            sock.sendall(data)
+            if end:
+                sock.shutdown(socket.SHUT_WR)
+            answer = b""
+            while piece := sock.recv(65536):
+                answer += piece
+            return answer
+
+    def test_each_ambiguous_request_ends_with_400_and_reaches_nobody(self):
+        for name, data in _REFUSED.items():
+            with self.subTest(name):
+                self.seen.clear()
+                answer = self._exchange(data + _SECOND)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+                self.assertEqual(len(re.findall(rb"HTTP/1.1 \d", answer)), 1)
+                self.assertEqual(self.seen, [])
+
+    def test_requests_in_a_row_are_answered_in_order(self):
+        chunked = (
+            b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\n3;x=y\r\nabc\r\n0\r\nT: r\r\n\r\n"
+        )
+        answer = self._exchange(
+            chunked + b"GET /d HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        )
+        self.assertEqual(answer.count(b"HTTP/1.1 200 "), 2)
+        self.assertEqual([r.target for r in self.seen], ["/c", "/d"])
+        self.assertEqual(self.seen[0].body, b"abc")
+
+    def test_limits(self):
+        head = b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"x" * 3000
+        self.assertIn(b" 431 ", self._exchange(head + b"\r\n\r\n"))
+        body = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10001\r\n\r\n"
+        self.assertIn(b" 413 ", self._exchange(body))
+        self.assertIn(b" 408 ", self._exchange(b"GET / HTTP/1.1\r\nHo"))
+        self.assertEqual(self._exchange(b""), b"")
+
+    def test_a_caller_who_leaves_ends_the_work(self):
+        with socket.create_connection(self.address) as sock:
+            sock.sendall(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+            gevent.sleep(0.1)
+        gevent.sleep(0.1)
+        self.assertEqual(self.left, 1)
+
+    def test_a_late_answer_to_an_earlier_request_is_passed_over(self):
+        earlier = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nold"
+        own = b"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nnew"
+        answer, opened = self._ask([earlier + own])
+        self.assertEqual((answer.body, opened), (b"new", 1))
+
+    def test_bytes_after_an_answer_end_the_connection(self):
+        own = b"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nnew"
+        for excess in (own, b"garbage\r\n\r\n"):
+            answer, opened = self._ask([own + excess, own])
+            self.assertEqual((answer.body, opened), (b"new", 2))
+
+    def test_a_cut_answer_is_lost(self):
+        for cut in (
+            b"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 9\r\n\r\nnew",
+            b"HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nnew\r\n",
+            b"HTTP/1.1 200",
+        ):
+            with self.assertRaises(errors.TargetLostError):
+                self._ask([cut])
+
+    def test_an_answer_may_end_with_its_connection(self):
+        answer, _ = self._ask([b"HTTP/1.1 200 OK\r\nId: 2\r\n\r\nnew"])
+        self.assertEqual(answer.body, b"new")
+
+    def _ask(self, answers: list[bytes]) -> tuple[object, int]:
+        """Asks a server that sends bytes as they are; one for each request."""
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        left = list(answers)
+
+        def serve() -> None:
+            while left:
+                sock, _ = listener.accept()
+                with sock:
+                    while left and sock.recv(65536):
+                        sock.sendall(left.pop(0))
+                        gevent.sleep(0.05)
+
+        task = gevent.spawn(serve)
+        client = http_client.HttpClient(
+            address=f"127.0.0.1:{listener.getsockname()[1]}"
+        )
+        head = http_client.request_head("GET", "/", [("Host", "h")])
+        try:
+            for _ in answers:
+                answer = client.exchange(
+                    head=head,
+                    timeout_s=1,
+                    belongs=lambda a: a.get("id") == "2",
+                )
+                gevent.sleep(0.02)
+            return answer, client.opened
+        finally:
+            task.kill()
+            client.close()
+            listener.close()
+
+    @settings(max_examples=60, deadline=None)
+    @given(strategies.binary(max_size=300), strategies.integers(1, 60))
+    def test_no_bytes_make_two_requests_out_of_one_body(self, body, step):
+        """Whatever a body holds, however it is cut, it is one request."""
+        self.seen.clear()
+        data = (
+            b"POST /one HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body)
+        ) + body
+        with socket.create_connection(self.address, timeout=2) as sock:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for at in itertools.count(0, step):
+                if at >= len(data):
+                    break
+                sock.sendall(data[at : at + step])
+            while sock.recv(65536):
+                pass
+        self.assertEqual([r.body for r in self.seen], [body])
