--- a/primrosecross/adapters/http_connection.py
+++ b/primrosecross/adapters/http_connection.py
@@ -13,6 +13,7 @@
 import logging
 import re
 import socket
+import time
 from collections.abc import Callable
 from collections.abc import Iterator
 
@@ -110,21 +111,30 @@
     def __init__(self, limits: ServerLimits) -> None:
         self.limits = limits
         self.complete: list[HttpRequest] = []
-        self.begun = False
+        self.refused: _RefusedError | None = None
+        self.in_body = False
         self._request = HttpRequest()
         self._target: list[bytes] = []
         self._pieces: list[bytes] = []
         self._head_bytes = 0
         self._body_bytes = 0
-        self._in_body = False
         self._parser = httptools.HttpRequestParser(self)
 
     def feed(self, data: bytes) -> None:
         """Takes in bytes.
 
         Raises:
-            _RefusedError: They are no acceptable request.
+            _RefusedError: They are no acceptable request. It is kept for
+                later if whole requests came before.
         """
+        try:
+            self._feed(data)
+        except _RefusedError as error:
+            if not self.complete:
+                raise
+            self.refused = error
+
+    def _feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -137,12 +147,11 @@
             raise _RefusedError(400, str(error)) from error
 
     def on_message_begin(self) -> None:
-        self.begun = True
         self._request = HttpRequest()
         self._target.clear()
         self._pieces.clear()
         self._head_bytes = self._body_bytes = 0
-        self._in_body = False
+        self.in_body = False
 
     def on_url(self, url: bytes) -> None:
         self._target.append(url)
@@ -150,7 +159,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_head(len(name) + len(value) + 4)
-        if self._in_body:  # Trailers are read and not passed on.
+        if self.in_body:  # Trailers are read and not passed on.
             return
         self._request.headers.append(
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -162,7 +171,7 @@
             raise _RefusedError(431, "the head is too long")
 
     def on_headers_complete(self) -> None:
-        self._in_body = True
+        self.in_body = True
         request = self._request
         request.method = self._parser.get_method().decode("latin-1")
         request.target = b"".join(self._target).decode("latin-1")
@@ -196,7 +205,7 @@
         self._request.body = b"".join(self._pieces)
         self._pieces.clear()
         self._request.keep_alive = self._parser.should_keep_alive()
-        self.begun = False
+        self.in_body = False
         self.complete.append(self._request)
 
 
@@ -229,6 +238,8 @@
         self._server = gevent_server.StreamServer(
             listen, self._serve, backlog=BACKLOG
         )
+        self._idle: set[gevent_socket.socket] = set()
+        self._retired = False
         self.in_flight = 0
         self.closing = False
 
@@ -245,6 +256,14 @@
         """Stops listening."""
         self._server.close()
 
+    def retire(self) -> None:
+        """Reads no further request; those that were read are answered."""
+        self._retired = self.closing = True
+        self._server.close()
+        for sock in list(self._idle):
+            with contextlib.suppress(OSError):  # It has just ended.
+                sock.shutdown(socket.SHUT_RD)
+
     def _serve(self, sock: gevent_socket.socket, _: object) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
@@ -279,37 +298,33 @@
         self, sock: gevent_socket.socket, parser: _Parser
     ) -> HttpRequest | None:
         """Returns the next request, None when the caller is gone or idle."""
+        if parser.complete:
+            return parser.complete.pop(0)
+        if parser.refused is not None:
+            raise parser.refused
+        if self._retired:
+            return None
         parser.limits = limits = self._limits()
-        idle = gevent.Timeout(limits.idle_timeout_ms / 1000)
-        head: gevent.Timeout | None = None
-        idle.start()
+        data = self._await_bytes(sock, limits.idle_timeout_ms / 1000)
+        head_s = limits.head_timeout_ms / 1000
+        until_s = time.monotonic() + head_s
+        while data:
+            parser.feed(data)
+            if parser.complete:
+                return parser.complete.pop(0)
+            left_s = head_s if parser.in_body else until_s - time.monotonic()
+            data = _receive(sock, max(0.0, left_s))
+        return None
+
+    def _await_bytes(self, sock: gevent_socket.socket, idle_s: float) -> bytes:
+        """Returns the first bytes of a request, none at the end."""
+        self._idle.add(sock)
         try:
-            while not parser.complete:
-                data = sock.recv(RECEIVE_BYTES)
-                if not data:
-                    return None
-                if head is None:
-                    idle.close()
-                    head = gevent.Timeout.start_new(
-                        limits.head_timeout_ms / 1000
-                    )
-                parser.feed(data)
-                if parser.begun and data:
-                    head.close()
-                    head = gevent.Timeout.start_new(
-                        limits.head_timeout_ms / 1000
-                    )
-            return parser.complete.pop(0)
-        except gevent.Timeout as timeout:
-            if timeout is idle:
-                return None
-            if timeout is not head:
-                raise
-            raise _RefusedError(408, "the request took too long") from None
+            with gevent.Timeout(idle_s, False):
+                return sock.recv(RECEIVE_BYTES)
+            return b""
         finally:
-            idle.close()
-            if head is not None:
-                head.close()
+            self._idle.discard(sock)
 
     def _answer(
         self, sock: gevent_socket.socket, request: HttpRequest
@@ -349,6 +364,13 @@
         sock.sendall(head if method == "HEAD" else head + reply.body)
 
 
+def _receive(sock: gevent_socket.socket, timeout_s: float) -> bytes:
+    """Returns more bytes of a request that has begun."""
+    with gevent.Timeout(timeout_s, False):
+        return sock.recv(RECEIVE_BYTES)
+    raise _RefusedError(408, "the request took too long")
+
+
 @contextlib.contextmanager
 def _killed_on_hangup(
     sock: gevent_socket.socket, job: gevent.Greenlet
--- a/primrosecross/domain/election.py
+++ b/primrosecross/domain/election.py
@@ -16,6 +16,7 @@
 TERM_MS = 1500
 CANDIDATES = 5
 RESERVE_MS = 4000
+NOBODY = ""  # stands in the term of a coordinator that gave it up
 
 _logger = logging.getLogger(__name__)
 
@@ -144,6 +145,24 @@
         if not renewing:
             self._timeline.record(events.CoordinatorElected(term.number))
 
+    def resign(self) -> None:
+        """Gives the office up, if it is held.
+
+        Raises:
+            errors.StoreError: The term could not be written.
+        """
+        if not self.in_office or self._term is None:
+            return
+        self._office_until_ns = 0
+        left = archive_port.Term(
+            vm=NOBODY,
+            peer_address="",
+            number=self._term.number,
+            beat=self._term.beat + 1,
+        )
+        self._version = self._archive.write_term(left, self._version)
+        self._term = left
+
     def _look(self, asked_ns: int) -> None:
         term, version = self._archive.read_term()
         if version != self._version or term != self._term:
@@ -151,7 +170,7 @@
         self._term, self._version = term, version
 
     def _may_write(self, asked_ns: int) -> bool:
-        if self._term is None or self._term.vm == self._vm:
+        if self._term is None or self._term.vm in (NOBODY, self._vm):
             return True
         idle_ns = asked_ns - self._changed_ns
         return idle_ns >= self._timing.term_ms * lease_module.NS_PER_MS
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -157,9 +157,9 @@
         )
 
     def _is_candidate(self) -> bool:
-        if self.stopping:
-            return False
-        return self.election.in_office or self.follower.out_of_touch()
+        if self.election.in_office:
+            return True
+        return not self.stopping and self.follower.out_of_touch()
 
     def _wake(self) -> None:
         self.follower.wake()
@@ -270,6 +270,13 @@
         self.stopping = True
         self._wake()
 
+    def end(self) -> None:
+        """Gives up the office, so that another can take it at once."""
+        try:
+            self.election.resign()
+        except errors.StoreError as error:
+            _logger.warning("the office was not given up: %s", error)
+
     def start(self) -> None:
         """Starts the daemon's tasks."""
         for task in (
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -250,16 +250,17 @@
         _logger.info("stopping, at most %d ms", limit_ms)
         self._node.begin_stop()
         self._callers.closing = True
-        while True:
+        gevent.sleep(UNREADY_MS / 1000)
+        self._node.gate.stopping = True
+        self._callers.retire()
+        passed_ms = UNREADY_MS
+        idle = False
+        while not idle and passed_ms < limit_ms:
             gevent.sleep(STOP_LOOK_S)
             passed_ms = (self._clock.now_ns() - started_ns) // 10**6
-            if passed_ms >= UNREADY_MS:
-                self._node.gate.stopping = True
             idle = not self._callers.in_flight and not self._node.gate.in_flight
-            if passed_ms >= limit_ms or (passed_ms > UNREADY_MS and idle):
-                break
+        self._node.end()
         _logger.info("stopped after %d ms, idle: %s", passed_ms, idle)
-        self._callers.stop()
         self._peers.stop()
 
 
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -43,7 +43,7 @@
 _SECOND = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
-class FramingTest(unittest.TestCase):
+class ServerTest(unittest.TestCase):
     """One server, raw bytes."""
 
     def setUp(self) -> None:
@@ -68,6 +68,8 @@
         self, found: http_connection.HttpRequest
     ) -> http_connection.HttpReply:
         self.seen.append(found)
+        if found.target == "/slowly":
+            gevent.sleep(0.2)
         if found.target == "/slow":
             try:
                 gevent.sleep(5)
@@ -86,6 +88,10 @@
                 answer += piece
             return answer
 
+
+class FramingTest(ServerTest):
+    """What is refused, and what is answered."""
+
     def test_each_ambiguous_request_ends_with_400_and_reaches_nobody(self):
         for name, data in _REFUSED.items():
             with self.subTest(name):
@@ -107,6 +113,11 @@
         self.assertEqual([r.target for r in self.seen], ["/c", "/d"])
         self.assertEqual(self.seen[0].body, b"abc")
 
+    def test_a_whole_request_before_a_broken_one_is_answered(self):
+        answer = self._exchange(_SECOND + b"GET / HTTP/1.1\nHost: h\n\n")
+        self.assertIn(b" 200 ", answer)
+        self.assertIn(b" 400 ", answer)
+
     def test_limits(self):
         head = b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"x" * 3000
         self.assertIn(b" 431 ", self._exchange(head + b"\r\n\r\n"))
@@ -200,3 +211,22 @@
             while sock.recv(65536):
                 pass
         self.assertEqual([r.body for r in self.seen], [body])
+
+
+class RetireTest(ServerTest):
+    """A server that is about to end."""
+
+    def test_what_was_read_is_answered_and_nothing_else_is_read(self):
+        with (
+            socket.create_connection(self.address, timeout=2) as busy,
+            socket.create_connection(self.address, timeout=2) as idle,
+        ):
+            busy.sendall(b"GET /slowly HTTP/1.1\r\nHost: h\r\n\r\n")
+            gevent.sleep(0.05)
+            self.server.retire()
+            self.assertEqual(idle.recv(100), b"")
+            answer = busy.recv(1000)
+            self.assertIn(b" 200 ", answer)
+            self.assertIn(b"Connection: close", answer)
+        with self.assertRaises(OSError):
+            socket.create_connection(self.address, timeout=1)
