Count a key as held once its target has the answer; explain a request

Change: new ranges count after 20 ms; a target's refusal of a key is a run and draws on the budget; the last refusal is told instead of 'no target'. Each failed attempt is logged with where, why, and the version of the map; the new command explain tells a request's story from log files. Ruled out: that the keys had left; the traces show the grant a few ms later.

--- a/primrosecross/adapters/json_log.py
+++ b/primrosecross/adapters/json_log.py
@@ -15,7 +15,16 @@
 
 import gevent
 
-FIELDS = ("request_id", "key_hash", "service", "took_ms")
+FIELDS = (
+    "request_id",
+    "key_hash",
+    "service",
+    "took_ms",
+    "tried",
+    "detail",
+    "map_version",
+    "proof_age_ms",
+)
 WINDOW_S = 10.0
 FLUSH_S = 0.2
 MAX_GATHERED = 2000
--- a/primrosecross/cli.py
+++ b/primrosecross/cli.py
@@ -5,6 +5,7 @@
 import typer
 
 from primrosecross.commands import cluster
+from primrosecross.commands import explain
 from primrosecross.commands import load
 from primrosecross.commands import owners
 from primrosecross.commands import plans
@@ -31,6 +32,7 @@
     cluster.status,
     cluster.metrics,
     load.load,
+    explain.explain,
 ):
     app.command()(command)
 
--- a/primrosecross/domain/dispatcher.py
+++ b/primrosecross/domain/dispatcher.py
@@ -76,6 +76,7 @@
         follow_until_ns: When to stop looking for a key's next holder.
         unknown: The first outcome that was not known.
         failed: The first answer by which a target said that it failed.
+        refusal: The last refusal by a target or its gate.
     """
 
     runs: int = 0
@@ -83,6 +84,7 @@
     follow_until_ns: int = 0
     unknown: outcome.Unknown | None = None
     failed: outcome.Answered | None = None
+    refusal: outcome.NotRun | None = None
 
     def note(self, result: outcome.Outcome) -> None:
         """Keeps what rules out that a later refusal means "not run"."""
@@ -90,6 +92,8 @@
             self.unknown = result
         if isinstance(result, outcome.Answered) and self.failed is None:
             self.failed = result
+        if isinstance(result, outcome.NotRun):
+            self.refusal = result
 
 
 class Dispatcher:
@@ -165,14 +169,18 @@
         )
         while True:
             vm = self._place(req, attempts)
+            if not vm and attempts.refusal is not None:
+                return _final(attempts.refusal, attempts)
             result = self._attempt(vm, req)
             attempts.note(result)
+            self._log_attempt(req, vm, result)
             step = self._next(req, vm, result, attempts, max_runs)
             if step is _Next.REPEAT and not self._may_repeat(req, budget):
                 step = _Next.RETURN
             if step is _Next.RETURN or self._left_ms(req) <= 0:
                 return _final(result, attempts)
-            if step is _Next.FOLLOW_KEY:
+            stays = req.key and isinstance(result, outcome.NotRun)
+            if step is _Next.FOLLOW_KEY or stays:
                 self._state.wait(MOVE_LOOK_MS / 1000)
             attempts.tried.add(vm)
 
@@ -197,6 +205,23 @@
             avoid=frozenset(attempts.tried),
         )
 
+    def _log_attempt(
+        self, req: request.Request, vm: str, result: outcome.Outcome
+    ) -> None:
+        if isinstance(result, outcome.Answered):
+            return
+        _logger.warning(
+            "an attempt failed: %s",
+            result.reason.value,
+            extra={
+                "request_id": req.request_id,
+                "service": req.service,
+                "tried": vm,
+                "detail": result.detail,
+                "map_version": self._state.key_map.version,
+            },
+        )
+
     def _left_ms(self, req: request.Request) -> int:
         left_ns = req.deadline_ns - self._clock.now_ns()
         return left_ns // NS_PER_MS - ANSWER_MARGIN_MS
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -217,7 +217,13 @@
             _logger.warning(
                 "a forwarded request failed: %s",
                 result.reason.value,
-                extra={"request_id": req.request_id, "service": req.service},
+                extra={
+                    "request_id": req.request_id,
+                    "service": req.service,
+                    "detail": result.detail,
+                    "map_version": self.state.key_map.version,
+                    "proof_age_ms": round(min(self.lease.age_ms(), 1e9)),
+                },
             )
         return replies.reply_of(result, req.request_id)
 
--- a/primrosecross/domain/key_gate.py
+++ b/primrosecross/domain/key_gate.py
@@ -60,7 +60,7 @@
         self._granted = gevent_event.Event()
         self.stopping = False
         self.in_flight = 0
-        watch.on_grant = self.note_grant
+        watch.on_grant = self._note_grant_soon
         watch.on_new_life = self._begin_life
 
     def note_grant(self) -> None:
@@ -68,6 +68,9 @@
         self._granted.set()
         self._granted.clear()
 
+    def _note_grant_soon(self) -> None:
+        gevent.spawn_later(target_watch.TAKE_IN_MS / 1000, self.note_grant)
+
     def _begin_life(self) -> None:
         """Measures a new life of the target from its own answers."""
         self.times = run_times.RunTimes()
--- a/primrosecross/domain/target_watch.py
+++ b/primrosecross/domain/target_watch.py
@@ -14,6 +14,7 @@
 MAX_GRANTS = 80  # what fits into an answer of 4 KiB
 MIN_HOLD_MS = 200
 MAX_TOKENS = 256
+TAKE_IN_MS = 20  # from an answer until the target goes by it
 _NS_PER_MS = proof_module.NS_PER_MS
 _State = check_in_module.TargetState
 
@@ -29,6 +30,8 @@
         heard_ns: When that came.
         state: What it can do.
         granted: Ranges of the newest answer.
+        granted_before: Ranges of the answer before it.
+        granted_from_ns: When the target has surely taken the newest one in.
         granted_until_ns: When everything granted has run out at the latest.
         tokens: Hand-over tokens of what it released, newest last.
         forfeited: Version of the map up to whose grants it gets none again;
@@ -40,6 +43,8 @@
     heard_ns: int
     state: check_in_module.TargetState
     granted: tuple[check_in_module.GrantedRange, ...] = ()
+    granted_before: tuple[check_in_module.GrantedRange, ...] = ()
+    granted_from_ns: int = 0
     granted_until_ns: int = 0
     tokens: list[check_in_module.ReleasedRange] = dataclasses.field(
         default_factory=list
@@ -149,13 +154,15 @@
             if r.receiver == key_map_module.NO_ONE
             and r.generation > beside.forfeited
         )[:MAX_GRANTS]
-        news = grants != beside.granted
-        beside.granted = grants
-        beside.granted_until_ns = self._clock.now_ns() + int(
+        now_ns = self._clock.now_ns()
+        if grants != beside.granted:
+            beside.granted_before = beside.granted
+            beside.granted_from_ns = now_ns + TAKE_IN_MS * _NS_PER_MS
+            beside.granted = grants
+            self.on_grant()
+        beside.granted_until_ns = now_ns + int(
             hold_ms * (1 + proof_module.DRIFT_SHARE) * _NS_PER_MS
         )
-        if news:
-            self.on_grant()
         return check_in_module.CheckInAnswer(grants, hold_ms)
 
     def leave(self, instance: str) -> None:
@@ -210,9 +217,18 @@
     def holds(self, key: int) -> bool:
         """Tells whether the target was granted a key and may still hold it."""
         beside = self.beside
-        if beside is None or self._clock.now_ns() > beside.granted_until_ns:
+        now_ns = self._clock.now_ns()
+        if beside is None or now_ns > beside.granted_until_ns:
             return False
-        return any(g.first <= key <= g.last for g in beside.granted)
+        if now_ns < beside.granted_from_ns and not _covers(
+            beside.granted_before, key
+        ):
+            return False
+        return _covers(beside.granted, key)
+
+
+def _covers(grants: tuple[check_in_module.GrantedRange, ...], key: int) -> bool:
+    return any(g.first <= key <= g.last for g in grants)
 
 
 def _token_for(
--- a/primrosecross/platform/targets.py
+++ b/primrosecross/platform/targets.py
@@ -134,12 +134,10 @@
 
 def _outcome(answer: http_client.HttpAnswer) -> outcome.Outcome:
     if answer.get(headers.NOT_RUN.lower()) or answer.status == 421:
-        reason = (
-            outcome.Reason.NOT_OWNER
-            if answer.status == 421
-            else outcome.Reason.TARGET_REFUSED
+        return outcome.NotRun(
+            outcome.Reason.TARGET_REFUSED,
+            f"the target refused: {answer.status}",
         )
-        return outcome.NotRun(reason, f"the target refused: {answer.status}")
     stamped = bool(answer.get(headers.STAMP.lower()))
     if answer.get("content-encoding"):
         return _lost("the answer is encoded, so it is not the target's")
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -96,6 +96,8 @@
         answer = self.watch.take(fleet_fakes.beat())
         self.assertEqual(self._rows(answer), [(0, 99)])
         self.assertLessEqual(answer.hold_ms, proof.LEASE_MS)
+        self.assertFalse(self.watch.holds(50), "the answer is on its way")
+        self.clock.advance(target_watch.TAKE_IN_MS)
         self.assertTrue(self.watch.holds(50))
         self.assertFalse(self.watch.holds(100))
 
