Serve callers still in time before those who come back late

Change: the shrinking deadline tells how long a caller has waited; who cannot be in time any more waits behind all who can, calls with little time left excepted. A test names the pattern (burst, retry_abuse). Ruled out: a last-in-first-out queue, which cannot tell a later attempt. Not measured yet.

--- a/primrosecross/domain/dispatcher.py
+++ b/primrosecross/domain/dispatcher.py
@@ -272,6 +272,7 @@
             priority=req.priority,
             objective_ms=req.objective_ms,
             origin=req.origin,
+            waited_ms=req.waited_ms,
         )
         try:
             reply = self._peers.call(vm, message, timeout_ms=left_ms)
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -211,6 +211,7 @@
             priority=forward.priority,
             objective_ms=forward.objective_ms,
             origin=forward.origin,
+            waited_ms=forward.waited_ms,
         )
         result = self.gate.run(req)
         if not isinstance(result, outcome.Answered):
--- a/primrosecross/domain/request.py
+++ b/primrosecross/domain/request.py
@@ -28,6 +28,8 @@
         objective_ms: Time within which an answer is worth its full benefit,
             0 if the plan does not say.
         origin: Service on whose VM the request began, empty if unknown.
+        waited_ms: How long its caller has waited since a first attempt, as
+            far as its deadline shows.
     """
 
     request_id: str
@@ -44,3 +46,4 @@
     priority: int = 0
     objective_ms: int = 0
     origin: str = ""
+    waited_ms: int = 0
--- a/primrosecross/domain/request_messages.py
+++ b/primrosecross/domain/request_messages.py
@@ -25,6 +25,7 @@
         objective_ms: Time within which an answer is worth its full benefit,
             0 if the plan does not say.
         origin: Service on whose VM the request began, empty if unknown.
+        waited_ms: How long its caller has waited since a first attempt.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     priority: int = 0
     objective_ms: int = 0
     origin: str = ""
+    waited_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/domain/slot_queue.py
+++ b/primrosecross/domain/slot_queue.py
@@ -1,8 +1,9 @@
 """Who gets a target's slots, who waits, and who is refused at once.
 
 Requests wait by urgency, then in order of arrival, and only while they can
-still be answered within their objective; what could only be late is refused
-on arrival, so that its caller may turn elsewhere while there is time.
+still be answered within their objective. Those whose callers have waited so
+long that no answer can be in time come after all others: at a crest the slots
+would else go to callers who come back, and everybody would be late.
 """
 
 import bisect
@@ -19,6 +20,7 @@
 NS_PER_MS = 1_000_000
 WAIT_SHARE = 0.5  # of what the objective leaves beside the usual run time
 MIN_WAIT_MS = 25
+LATE_LEFT_FACTOR = 2.0  # of the objective; see _is_late
 DEFAULT_OBJECTIVE_MS = 500
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 2000
@@ -39,7 +41,7 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Waiter:
-    rank: tuple[int, int]
+    rank: tuple[bool, int, int]
     usual_ms: float
     latest_ns: int
     decided: gevent_event.Event = dataclasses.field(
@@ -82,10 +84,10 @@
         usual_ms = self._times.usual_ms(req)
         if not self._waiters and len(self._held) < self.slots:
             return self._give(usual_ms, now_ns)
-        latest_ns = _latest_start_ns(req, usual_ms, now_ns)
-        waiter = _Waiter(
-            (req.priority, next(self._arrivals)), usual_ms, latest_ns
-        )
+        late = _is_late(req, usual_ms, now_ns)
+        latest_ns = _latest_start_ns(req, usual_ms, now_ns, late=late)
+        rank = (late, req.priority, next(self._arrivals))
+        waiter = _Waiter(rank, usual_ms, latest_ns)
         expected_ms = self._expected_ms(waiter, now_ns)
         if now_ns + expected_ms * NS_PER_MS > latest_ns:
             return self._refuse(expected_ms)
@@ -155,9 +157,32 @@
             waiter.decided.set()
 
 
-def _latest_start_ns(req: request.Request, usual_ms: float, now_ns: int) -> int:
+def _objective_ms(req: request.Request) -> int:
+    return req.objective_ms or DEFAULT_OBJECTIVE_MS
+
+
+def _is_late(req: request.Request, usual_ms: float, now_ns: int) -> bool:
+    """Tells whether an answer cannot be within the objective any more.
+
+    A request with little time left counts as urgent: it may be a call of a
+    target, which holds a slot meanwhile.
+    """
+    objective_ms = _objective_ms(req)
+    left_ms = (req.deadline_ns - now_ns) / NS_PER_MS
+    return (
+        req.waited_ms + usual_ms > objective_ms
+        and req.waited_ms > 0
+        and left_ms > LATE_LEFT_FACTOR * objective_ms
+    )
+
+
+def _latest_start_ns(
+    req: request.Request, usual_ms: float, now_ns: int, *, late: bool
+) -> int:
     """Returns when a request must begin to be worth running."""
-    objective_ms = req.objective_ms or DEFAULT_OBJECTIVE_MS
-    wait_ms = max(MIN_WAIT_MS, (objective_ms - usual_ms) * WAIT_SHARE)
     by_deadline_ns = req.deadline_ns - int(usual_ms * NS_PER_MS)
+    wait_ms = (_objective_ms(req) - usual_ms) * WAIT_SHARE
+    if not late:
+        wait_ms -= req.waited_ms * WAIT_SHARE
+    wait_ms = max(MIN_WAIT_MS, wait_ms)
     return min(now_ns + int(wait_ms * NS_PER_MS), by_deadline_ns)
--- a/primrosecross/platform/ingress.py
+++ b/primrosecross/platform/ingress.py
@@ -12,6 +12,7 @@
 from primrosecross.domain import fleet_state
 from primrosecross.domain import key_map
 from primrosecross.domain import outcome
+from primrosecross.domain import patience
 from primrosecross.domain import request
 from primrosecross.domain import routes
 from primrosecross.platform import headers
@@ -54,6 +55,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._record = record
+        self._patience = patience.Patience()
 
     def limits(self) -> http_connection.ServerLimits:
         """Returns the limits in force for callers."""
@@ -141,6 +143,7 @@
             priority=route.priority,
             objective_ms=route.objective_ms,
             origin=self._service,
+            waited_ms=self._patience.waited_ms(route.name, int(deadline)),
         )
 
 
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -5,6 +5,7 @@
 import gevent
 
 from primrosecross.domain import outcome
+from primrosecross.domain import patience
 from primrosecross.domain import run_times
 from primrosecross.domain import slot_queue
 from tests import fakes
@@ -51,6 +52,34 @@
         self.assertFalse(later.ready())
         gevent.killall([later])
 
+    def test_callers_who_come_back_wait_behind_those_still_in_time(self):
+        """A crest with callers that try again (burst, retry_abuse)."""
+        held = [self._enter() for _ in range(2)]
+        back = self._enter(waited_ms=300)
+        fresh = self._enter()
+        self.queue.leave(held[0].get())
+        gevent.sleep(0)
+        self.assertTrue(fresh.ready())
+        self.assertFalse(back.ready())
+        gevent.killall([back])
+
+    def test_a_call_with_little_time_left_is_not_put_behind(self):
+        held = [self._enter() for _ in range(2)]
+        first = self._enter()
+        short_ns = self.clock.now_ns() + 400_000_000
+        call = self._enter(priority=0, waited_ms=300, deadline_ns=short_ns)
+        self.queue.leave(held[0].get())
+        gevent.sleep(0)
+        self.assertTrue(call.ready())
+        gevent.killall([first])
+
+    def test_deadlines_tell_first_attempts_from_later_ones(self):
+        known = patience.Patience()
+        self.assertEqual(known.waited_ms("r", 2000), 0)
+        self.assertEqual(known.waited_ms("r", 1990), 0)
+        self.assertEqual(known.waited_ms("r", 1400), 600)
+        self.assertEqual(known.waited_ms("other", 1400), 0)
+
     def test_a_waiter_whose_time_is_up_is_not_run(self):
         held = [self._enter() for _ in range(2)]
         waiting = self._enter()
