--- a/primrosecross/domain/dispatcher.py
+++ b/primrosecross/domain/dispatcher.py
@@ -26,8 +26,9 @@
 MOVE_LOOK_MS = 150
 NO_PLACE_RETRY_MS = 500
 ANSWER_MARGIN_MS = 25  # between the target's deadline and the route's timeout
-REPEAT_SHARE = 0.1  # half of the fleet's budget, as calls repeat with them
+REPEAT_SHARE = 0.09  # half of the fleet's budget, as calls repeat with them
 REPEAT_RESERVE = 4.0
+FAILED_RUN_COST = 3.0  # a run that failed made its calls, and makes them again
 SMOOTHING = 0.05
 
 _logger = logging.getLogger(__name__)
@@ -76,6 +77,7 @@
         follow_until_ns: When to stop looking for a key's next holder.
         unknown: The first outcome that was not known.
         failed: The first answer by which a target said that it failed.
+        refusal: The last refusal by a target or its gate.
     """
 
     runs: int = 0
@@ -83,6 +85,7 @@
     follow_until_ns: int = 0
     unknown: outcome.Unknown | None = None
     failed: outcome.Answered | None = None
+    refusal: outcome.NotRun | None = None
 
     def note(self, result: outcome.Outcome) -> None:
         """Keeps what rules out that a later refusal means "not run"."""
@@ -90,6 +93,8 @@
             self.unknown = result
         if isinstance(result, outcome.Answered) and self.failed is None:
             self.failed = result
+        if isinstance(result, outcome.NotRun):
+            self.refusal = result
 
 
 class Dispatcher:
@@ -165,23 +170,34 @@
         )
         while True:
             vm = self._place(req, attempts)
+            if not vm and attempts.refusal is not None:
+                return _final(attempts.refusal, attempts)
             result = self._attempt(vm, req)
             attempts.note(result)
+            self._log_attempt(req, vm, result)
             step = self._next(req, vm, result, attempts, max_runs)
-            if step is _Next.REPEAT and not self._may_repeat(req, budget):
+            if step is _Next.REPEAT and not self._may_repeat(
+                req, result, budget
+            ):
                 step = _Next.RETURN
             if step is _Next.RETURN or self._left_ms(req) <= 0:
                 return _final(result, attempts)
-            if step is _Next.FOLLOW_KEY:
+            stays = req.key and isinstance(result, outcome.NotRun)
+            if step is _Next.FOLLOW_KEY or stays:
                 self._state.wait(MOVE_LOOK_MS / 1000)
             attempts.tried.add(vm)
 
     def _may_repeat(
-        self, req: request.Request, budget: retry.RetryBudget
+        self,
+        req: request.Request,
+        result: outcome.Outcome,
+        budget: retry.RetryBudget,
     ) -> bool:
         """Tells whether another run fits into the deadline and the budget."""
         usual_ms = self._usual_ms.get(req.service, 0.0)
-        return self._left_ms(req) > usual_ms and budget.withdraw()
+        ran = isinstance(result, outcome.Answered)
+        cost = FAILED_RUN_COST if ran else 1.0
+        return self._left_ms(req) > usual_ms and budget.withdraw(cost)
 
     def _note_usual(self, service: str, took_ms: float) -> None:
         known = self._usual_ms.get(service, took_ms)
@@ -197,6 +213,23 @@
             avoid=frozenset(attempts.tried),
         )
 
+    def _log_attempt(
+        self, req: request.Request, vm: str, result: outcome.Outcome
+    ) -> None:
+        if isinstance(result, outcome.Answered):
+            return
+        _logger.warning(
+            "an attempt failed: %s",
+            result.reason.value,
+            extra={
+                "request_id": req.request_id,
+                "service": req.service,
+                "tried": vm,
+                "detail": result.detail,
+                "map_version": self._state.key_map.version,
+            },
+        )
+
     def _left_ms(self, req: request.Request) -> int:
         left_ns = req.deadline_ns - self._clock.now_ns()
         return left_ns // NS_PER_MS - ANSWER_MARGIN_MS
@@ -247,6 +280,7 @@
             priority=req.priority,
             objective_ms=req.objective_ms,
             origin=req.origin,
+            waited_ms=req.waited_ms,
         )
         try:
             reply = self._peers.call(vm, message, timeout_ms=left_ms)
