Carry long bodies in turns and bound what is held of them

Cause: a body above the frame limit between daemons (4 MB) ended the connection and with it all requests on it; and callers together could make a node hold more than its memory. Change: bodies above 1 MB travel as streams, are whole before they run and before they are passed back; all callers' bodies together take at most a sixth of the memory, beyond that 503. Ruled out: raising the frame limit, which holds up short messages. Measured: 3 MB to a target and back over two daemons, in a test.

--- a/primrosecross/adapters/http_connection.py
+++ b/primrosecross/adapters/http_connection.py
@@ -89,12 +89,15 @@
         head_timeout_ms: From the first byte of a request to its last; a
             caller who takes longer is answered 408.
         idle_timeout_ms: Longest time without a request.
+        max_held_bytes: Bodies of all callers together; a request beyond that
+            is answered 503 before it is read.
     """
 
     max_head_bytes: int = 16 * 1024
     max_body_bytes: int = 64 << 20
     head_timeout_ms: int = 3000
     idle_timeout_ms: int = 15_000
+    max_held_bytes: int = 64 << 20
 
 
 class _RefusedError(Exception):
@@ -105,11 +108,20 @@
         self.status = status
 
 
+class _Held:
+    """Bytes of bodies that a server holds now."""
+
+    def __init__(self) -> None:
+        self.bytes = 0
+
+
 class _Parser:
     """Collects requests from the bytes of one connection."""
 
-    def __init__(self, limits: ServerLimits) -> None:
+    def __init__(self, limits: ServerLimits, held: _Held) -> None:
         self.limits = limits
+        self._held = held
+        self.held_bytes = 0
         self.complete: list[HttpRequest] = []
         self.refused: _RefusedError | None = None
         self.in_body = False
@@ -198,9 +210,18 @@
     def on_body(self, piece: bytes) -> None:
         self._pieces.append(piece)
         self._body_bytes += len(piece)
+        self.held_bytes += len(piece)
+        self._held.bytes += len(piece)
+        if self._held.bytes > self.limits.max_held_bytes:
+            raise _RefusedError(503, "too many bodies are held now")
         if self._body_bytes > self.limits.max_body_bytes:
             raise _RefusedError(413, "the body is too long")
 
+    def release(self) -> None:
+        """Counts the bodies taken in so far as held no more."""
+        self._held.bytes -= self.held_bytes
+        self.held_bytes = 0
+
     def on_message_complete(self) -> None:
         self._request.body = b"".join(self._pieces)
         self._pieces.clear()
@@ -238,6 +259,7 @@
         self._server = gevent_server.StreamServer(
             listen, self._serve, backlog=BACKLOG
         )
+        self._held = _Held()
         self._idle: set[gevent_socket.socket] = set()
         self._retired = False
         self.in_flight = 0
@@ -266,15 +288,16 @@
 
     def _serve(self, sock: gevent_socket.socket, _: object) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        parser = _Parser(self._limits(), self._held)
         try:
-            self._run(sock)
+            self._run(sock, parser)
         except OSError as error:
             _logger.debug("a caller's connection ended: %s", error)
         finally:
+            parser.release()
             sock.close()
 
-    def _run(self, sock: gevent_socket.socket) -> None:
-        parser = _Parser(self._limits())
+    def _run(self, sock: gevent_socket.socket, parser: _Parser) -> None:
         while True:
             try:
                 request = self._read(sock, parser)
@@ -289,6 +312,8 @@
             reply = self._answer(sock, request)
             if reply is None:
                 return
+            if not parser.complete:
+                parser.release()
             close = reply.close or self.closing or not request.keep_alive
             self._send(sock, reply, close=close, method=request.method)
             if close:
--- a/primrosecross/domain/body.py
+++ b/primrosecross/domain/body.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator
 
 UNKNOWN_LENGTH = -1
+HELD_PIECE_BYTES = 256 * 1024
+MAX_FRAMED_BYTES = 1 << 20  # longer bodies take turns with short messages
 
 
 class Stream(abc.ABC):
@@ -61,6 +63,28 @@
             self._callbacks.append(callback)
 
 
+class HeldStream(Stream):
+    """A body that is held whole and sent in pieces.
+
+    Args:
+        held: The whole body.
+    """
+
+    def __init__(self, held: bytes) -> None:
+        super().__init__(len(held))
+        self._rest = held
+
+    def read(self) -> bytes:
+        """Returns the next piece, or no bytes at the end."""
+        piece, self._rest = (
+            self._rest[:HELD_PIECE_BYTES],
+            self._rest[HELD_PIECE_BYTES:],
+        )
+        if not piece:
+            self.finish()
+        return piece
+
+
 Body = bytes | Stream
 
 
@@ -101,3 +125,17 @@
 @call_when_done.register
 def _(source: Stream, callback: Callable[[], None]) -> None:
     source.call_when_done(callback)
+
+
+def framed(held: bytes) -> Body:
+    """Returns a held body as it is sent to another daemon."""
+    return held if len(held) <= MAX_FRAMED_BYTES else HeldStream(held)
+
+
+def whole(source: Body) -> bytes:
+    """Returns a body as one piece.
+
+    Raises:
+        errors.BodyError: It was cut short or corrupted.
+    """
+    return b"".join(pieces(source))
--- a/primrosecross/domain/dispatcher.py
+++ b/primrosecross/domain/dispatcher.py
@@ -6,6 +6,7 @@
 import functools
 import logging
 
+from primrosecross.domain import body as body_module
 from primrosecross.domain import errors
 from primrosecross.domain import fleet_state
 from primrosecross.domain import gate_choice
@@ -271,7 +272,7 @@
             method=req.method,
             path=req.path,
             headers=req.headers,
-            body=req.body,
+            body=body_module.framed(req.body),
             idempotent=req.idempotent,
             identified=req.identified,
             attempt=req.attempt,
@@ -294,7 +295,7 @@
                 outcome.Reason.DEADLINE if late else outcome.Reason.ANSWER_LOST,
                 str(error),
             )
-        return replies.outcome_of(reply, req.request_id)
+        return _held(replies.outcome_of(reply, req.request_id))
 
     def _next(
         self,
@@ -352,6 +353,17 @@
     return _AFTER_LOSS.get(result.reason, _Next.RETURN)
 
 
+def _held(result: outcome.Outcome) -> outcome.Outcome:
+    """Returns an outcome whose body, if it has one, has come whole."""
+    if not isinstance(result, outcome.Answered):
+        return result
+    try:
+        content = body_module.whole(result.body)
+    except errors.BodyError as error:
+        return outcome.Unknown(outcome.Reason.ANSWER_LOST, str(error))
+    return dataclasses.replace(result, body=content)
+
+
 def _final(result: outcome.Outcome, attempts: _Attempts) -> outcome.Outcome:
     """Returns the outcome for the caller; "not run" must hold for all tries."""
     if isinstance(result, outcome.NotRun):
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from primrosecross.domain import body
 from primrosecross.domain import check_in
 from primrosecross.domain import dispatcher as dispatcher_module
 from primrosecross.domain import election as election_module
@@ -196,6 +197,11 @@
             self._ports.clock.now_ns()
             + forward.timeout_ms * proof_module.NS_PER_MS
         )
+        try:
+            content = body.whole(forward.body)
+        except errors.BodyError as error:
+            refusal = outcome.NotRun(outcome.Reason.BODY_CUT, str(error))
+            return replies.reply_of(refusal, forward.request_id)
         req = request.Request(
             request_id=forward.request_id,
             service=forward.service,
@@ -203,7 +209,7 @@
             method=forward.method,
             path=forward.path,
             headers=forward.headers,
-            body=forward.body,
+            body=content,
             idempotent=forward.idempotent,
             deadline_ns=deadline_ns,
             identified=forward.identified,
@@ -226,6 +232,10 @@
                     "proof_age_ms": round(min(self.lease.age_ms(), 1e9)),
                 },
             )
+        else:
+            result = dataclasses.replace(
+                result, body=body.framed(bytes(result.body))
+            )
         return replies.reply_of(result, req.request_id)
 
     def report(self) -> fleet_messages.Sync:
--- a/primrosecross/domain/outcome.py
+++ b/primrosecross/domain/outcome.py
@@ -13,6 +13,7 @@
     UNKNOWN_SERVICE = "unknown-service"
     BAD_REQUEST = "bad-request"
     BODY_TOO_LARGE = "body-too-large"
+    BODY_CUT = "body-cut"
     NO_OWNER = "no-owner"
     NOT_OWNER = "not-owner"
     LEASE_LAPSED = "lease-lapsed"
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -29,6 +29,8 @@
 from primrosecross.platform import targets
 
 CLUSTER = "platform"
+HELD_SHARE = 6  # part of the memory for bodies on their way
+DEFAULT_HELD_BYTES = 32 << 20
 READY_PATH = "/api/readyz"
 METRICS_PATH = "/metrics"
 RELOAD_LOOK_S = 2.0
@@ -110,6 +112,8 @@
             dispatcher=self._node.dispatcher,
             clock=self._clock,
             record=self._record,
+            max_held_bytes=settings.memory_bytes // HELD_SHARE
+            or DEFAULT_HELD_BYTES,
         )
         heartbeats = check_ins.CheckIns(
             service=settings.service,
--- a/primrosecross/platform/ingress.py
+++ b/primrosecross/platform/ingress.py
@@ -39,6 +39,7 @@
         dispatcher: Runs requests.
         clock: Clock that deadlines refer to.
         record: Takes in outcome and duration of each request.
+        max_held_bytes: Bodies of all callers held at once.
     """
 
     def __init__(
@@ -49,7 +50,9 @@
         dispatcher: dispatcher_module.Dispatcher,
         clock: clock_port.Clock,
         record: Callable[[str, outcome.Outcome, int], None],
+        max_held_bytes: int,
     ) -> None:
+        self._max_held_bytes = max_held_bytes
         self._service = service
         self._state = state
         self._dispatcher = dispatcher
@@ -61,13 +64,16 @@
         """Returns the limits in force for callers."""
         plan = self._state.plan
         if plan is None:
-            return http_connection.ServerLimits()
+            return http_connection.ServerLimits(
+                max_held_bytes=self._max_held_bytes
+            )
         limits = plan.limits
         return http_connection.ServerLimits(
             max_head_bytes=limits.max_head_bytes,
             max_body_bytes=limits.max_body_bytes,
             head_timeout_ms=limits.head_timeout_ms,
             idle_timeout_ms=limits.idle_timeout_ms,
+            max_held_bytes=self._max_held_bytes,
         )
 
     def handle(
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -149,6 +149,7 @@
         key: int | None = None,
         method: str = "GET",
         deadline_ms: int = 2000,
+        body: bytes | None = None,
     ) -> tuple[int, bytes]:
         """Sends a request as a caller on a VM; returns status and body."""
         headers = {
@@ -162,6 +163,7 @@
             f"http://127.0.0.1:{one.ports['outbound']}{path}",
             headers=headers,
             method=method,
+            data=body,
         )
         try:
             with urllib.request.urlopen(asked, timeout=10) as answer:
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -62,6 +62,7 @@
             max_body_bytes=10_000,
             head_timeout_ms=200,
             idle_timeout_ms=400,
+            max_held_bytes=15_000,
         )
 
     def _handle(
@@ -126,6 +127,18 @@
         self.assertIn(b" 408 ", self._exchange(b"GET / HTTP/1.1\r\nHo"))
         self.assertEqual(self._exchange(b""), b"")
 
+    def test_bodies_of_all_callers_together_are_bounded(self):
+        head = b"POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n"
+        with socket.create_connection(self.address) as first:
+            first.sendall(head + b"x" * 9000)
+            gevent.sleep(0.1)
+            refused = self._exchange(head + b"x" * 9000)
+            self.assertIn(b" 503 ", refused)
+        gevent.sleep(0.1)
+        self.assertIn(
+            b" 200 ", self._exchange(head.replace(b"/slow", b"/") + b"x" * 9000)
+        )
+
     def test_a_caller_who_leaves_ends_the_work(self):
         with socket.create_connection(self.address) as sock:
             sock.sendall(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -123,6 +123,15 @@
         self.assertEqual(origins, {"desk", "files"})
         self._check_journal()
 
+    def test_large_bodies_arrive_whole_and_come_back(self):
+        bundle = bytes(range(256)) * (3 << 12)  # 3 MB, more than one frame
+        for vm in range(4):
+            status, body = self._send(
+                "/book/x", 500, vm=vm, method="POST", body=bundle
+            )
+            self.assertEqual(status, 200)
+            self.assertEqual(body, bundle)
+
     def test_what_no_route_allows_is_refused_and_a_new_plan_takes_hold(self):
         self.assertEqual(self._send("/new/x", 1, method="POST")[0], 404)
         self.fleet.put_config(_config(2, "/new/"))
