Send changes of the key map, and let decisions take a tenth of a core

Cause: read of the code for 76 nodes on links of 5 to 10 Mbit/s: each write sent the whole map, encoded anew, to every daemon, and each report with news led to a decision at once. Ruled out: relaying maps from daemon to daemon, which adds a step to every move. Change: 32 past versions are kept; who is one of them behind gets the ranges and holders that differ, encoded once; the coordinator paces decisions by the processor time they take.

--- a/primrosecross/adapters/fleet_archive.py
+++ b/primrosecross/adapters/fleet_archive.py
@@ -102,16 +102,15 @@
             _logger.info("%s was written, its answer was lost", kind)
         return found.version
 
-    def encode_map(self, value: key_map.KeyMap) -> bytes:
-        """Returns the encoded map, for other daemons."""
-        return msgspec.msgpack.encode(_from_map(value))
+    def encode_change(self, value: key_map.MapChange) -> bytes:
+        """Returns an encoded change of the map, for other daemons."""
+        return msgspec.msgpack.encode(value)
 
-    def decode_map(self, data: bytes) -> key_map.KeyMap:
-        """Returns the map; raises errors.DocumentError."""
+    def decode_change(self, data: bytes) -> key_map.MapChange:
+        """Returns the change; raises errors.DocumentError."""
         try:
-            model = msgspec.msgpack.decode(data, type=_MapModel)
-            return _to_map(model)
-        except (msgspec.DecodeError, errors.StoreObjectError) as error:
+            return msgspec.msgpack.decode(data, type=key_map.MapChange)
+        except msgspec.DecodeError as error:
             raise errors.DocumentError(
                 f"a key map does not decode: {error}",
                 remedy="check that all daemons run compatible versions",
--- a/primrosecross/domain/fleet_messages.py
+++ b/primrosecross/domain/fleet_messages.py
@@ -96,7 +96,7 @@
         office_age_ms: Time since its office was last proved; -1 unless the
             sender is the coordinator.
         map_version: Newest map that the sender knows.
-        key_map: That map encoded, empty if the asker has it.
+        map_change: What makes it of the asker's, empty if that is as new.
         proof_version: Version of the map that the sender's proof showed.
         proof_age_ms: Age of the proof, -1 if there is none.
         plan_revision: Newest plan that the sender knows.
@@ -111,7 +111,7 @@
     term: int
     office_age_ms: int
     map_version: int
-    key_map: bytes
+    map_change: bytes
     proof_version: int
     proof_age_ms: int
     plan_revision: int
--- a/primrosecross/domain/fleet_state.py
+++ b/primrosecross/domain/fleet_state.py
@@ -1,5 +1,6 @@
 """What one daemon knows of map, plan and the other VMs; it only moves on."""
 
+import collections
 import logging
 from collections.abc import Callable
 
@@ -11,6 +12,8 @@
 from primrosecross.domain import routes
 from primrosecross.ports import fleet_store
 
+KEPT_MAPS = 32  # so that others who are a little behind get changes only
+
 _logger = logging.getLogger(__name__)
 
 
@@ -19,6 +22,9 @@
 
     def __init__(self) -> None:
         self.key_map = key_map_module.KeyMap()
+        self.past_maps: collections.OrderedDict[int, key_map_module.KeyMap] = (
+            collections.OrderedDict()
+        )
         self.document: fleet_store.PlanDocument | None = None
         self.entries: dict[str, fleet_messages.VmEntry] = {}
         self._changed = gevent_event.Event()
@@ -37,6 +43,9 @@
         """Takes a map in if it is newer."""
         if value.version <= self.key_map.version:
             return
+        self.past_maps[self.key_map.version] = self.key_map
+        while len(self.past_maps) > KEPT_MAPS:
+            self.past_maps.popitem(last=False)
         self.key_map = value
         _logger.info(
             "key map %d in force, ranges %d",
--- a/primrosecross/domain/follower.py
+++ b/primrosecross/domain/follower.py
@@ -15,6 +15,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import fleet_messages
 from primrosecross.domain import fleet_state
+from primrosecross.domain import key_map as key_map_module
 from primrosecross.domain import messages
 from primrosecross.domain import proof as proof_module
 from primrosecross.domain import stream_messages
@@ -76,6 +77,7 @@
         self._heard_ns = 0
         self._found_ns = 0
         self._proved_ns = 0
+        self._changes: dict[tuple[int, int], bytes] = {}
         self.coordinator = ""
         self.coordinator_address = ""
         self.term = 0
@@ -146,8 +148,11 @@
             )
 
     def _take_documents(self, ack: fleet_messages.SyncAck) -> None:
-        if ack.key_map:
-            self._state.offer_map(self._store.decode_map(ack.key_map))
+        if ack.map_change:
+            change = self._store.decode_change(ack.map_change)
+            found = key_map_module.apply(self._state.key_map, change)
+            if found is not None:
+                self._state.offer_map(found)
         if ack.plan:
             self._state.offer_plan(
                 self._plans.decode_plan(ack.plan_revision, ack.plan)
@@ -244,6 +249,21 @@
         self.wake()
         return stream_messages.Done()
 
+    def _change_since(self, version: int) -> bytes:
+        """Returns what turns a version of the map into the newest, encoded."""
+        newest = self._state.key_map
+        if newest.version <= version:
+            return b""
+        key = (version, newest.version)
+        if key not in self._changes:
+            old = self._state.past_maps.get(version)
+            change = key_map_module.changes(old, newest)
+            self._changes = {
+                k: v for k, v in self._changes.items() if k[1] == key[1]
+            }
+            self._changes[key] = self._store.encode_change(change)
+        return self._changes[key]
+
     def answer_sync(
         self,
         sync: fleet_messages.Sync,
@@ -264,9 +284,7 @@
             term=self.term,
             office_age_ms=office_age_ms,
             map_version=key_map.version,
-            key_map=self._store.encode_map(key_map)
-            if key_map.version > sync.map_version
-            else b"",
+            map_change=self._change_since(sync.map_version),
             proof_version=0 if newest is None else newest.version,
             proof_age_ms=-1
             if newest is None
--- a/primrosecross/domain/key_map.py
+++ b/primrosecross/domain/key_map.py
@@ -152,3 +152,63 @@
             return KeyRange(0, LAST_KEY), None
         found = table.find(key)
         return found, self.holders.get(found.holder)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MapChange:
+    """What turns one version of the map into a later one.
+
+    Attributes:
+        since: Version that it applies to; 0 for any, as it holds everything.
+        version: Version that it makes.
+        holders: Holders that are new or changed.
+        gone: Lives that are named no more.
+        ranges: Ranges that are new or changed, by service.
+    """
+
+    since: int
+    version: int
+    holders: tuple[Holder, ...]
+    gone: tuple[str, ...]
+    ranges: dict[str, tuple[KeyRange, ...]]
+
+
+def changes(old: KeyMap | None, new: KeyMap) -> MapChange:
+    """Returns what turns an older map into a newer one."""
+    if old is None:
+        old = KeyMap()
+    return MapChange(
+        since=old.version,
+        version=new.version,
+        holders=tuple(
+            h for life, h in new.holders.items() if old.holders.get(life) != h
+        ),
+        gone=tuple(life for life in old.holders if life not in new.holders),
+        ranges={
+            service: _changed_ranges(old.tables.get(service), table)
+            for service, table in new.tables.items()
+        },
+    )
+
+
+def _changed_ranges(
+    old: RangeTable | None, new: RangeTable
+) -> tuple[KeyRange, ...]:
+    known = frozenset(old.ranges) if old is not None else frozenset()
+    return tuple(r for r in new.ranges if r not in known)
+
+
+def apply(current: KeyMap, change: MapChange) -> KeyMap | None:
+    """Returns the later version, None if the change is not for this one."""
+    if change.since not in (0, current.version):
+        return None
+    base = current if change.since else KeyMap()
+    holders = {
+        life: h for life, h in base.holders.items() if life not in change.gone
+    }
+    holders.update((h.life, h) for h in change.holders)
+    tables = dict(base.tables)
+    for service, ranges in change.ranges.items():
+        table = tables.get(service) or RangeTable.free()
+        tables[service] = table.replaced(ranges)
+    return KeyMap(change.version, holders, tables)
--- a/primrosecross/domain/range_coordinator.py
+++ b/primrosecross/domain/range_coordinator.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 import random
+import time
 
 import gevent
 from gevent import event as gevent_event
@@ -28,6 +29,9 @@
 TAKE_OFFICE_MS = 2200  # until all daemons had time to report
 BEGIN_MS = 2500
 DECIDE_MS = 100
+DECIDE_SHARE = 0.1  # of the processor
+MIN_GAP_MS = 20
+MAX_GAP_MS = 500
 PROVE_MS = 800
 NOTICE_TIMEOUT_MS = 300
 INVITE_MS = 500
@@ -100,6 +104,7 @@
         # Versions written in this term, with when; the older are settled.
         self._written: collections.deque[tuple[int, int]] = collections.deque()
         self._first_version = 0
+        self._gap_ms: float = MIN_GAP_MS
         self._wake = gevent_event.Event()
         state.subscribe(self._wake.set)
 
@@ -187,12 +192,19 @@
         """Decides while in office, until killed."""
         while True:
             self._wake.wait(timeout=DECIDE_MS / 1000)
-            self._clock.sleep(follower_module.MIN_GAP_MS)
+            self._clock.sleep(self._gap_ms)
             self._wake.clear()
             if not self._election.in_office:
                 continue
             self._take_office()
+            began_s = time.thread_time()
             self._lead()
+            self._pace(time.thread_time() - began_s)
+
+    def _pace(self, took_s: float) -> None:
+        """Has decisions take at most a share of the processor."""
+        wanted_ms = took_s * 1000 / DECIDE_SHARE
+        self._gap_ms = min(MAX_GAP_MS, max(MIN_GAP_MS, wanted_ms))
 
     def _lead(self) -> None:
         self._follower.learn_coordinator(
--- a/primrosecross/ports/fleet_store.py
+++ b/primrosecross/ports/fleet_store.py
@@ -30,11 +30,11 @@
     def write_map(self, value: key_map.KeyMap, version: str) -> str:
         """Writes the map if the store's version is still the one given."""
 
-    def encode_map(self, value: key_map.KeyMap) -> bytes:
-        """Returns the encoded map, for other daemons."""
+    def encode_change(self, value: key_map.MapChange) -> bytes:
+        """Returns an encoded change of the map, for other daemons."""
 
-    def decode_map(self, data: bytes) -> key_map.KeyMap:
-        """Returns the map; raises errors.DocumentError."""
+    def decode_change(self, data: bytes) -> key_map.MapChange:
+        """Returns the change; raises errors.DocumentError."""
 
 
 class PlanSource(Protocol):
