Take in a life that was born before the clock was set back

Cause: lives are ordered by their birth in wall-clock time; on the grown sites the time of day jumps, and a target restarted after a jump back would have been taken for late for ever. Found by reading, shown by a test that failed first. Change: an earlier-born life that goes on for three heartbeats while the other is silent is taken in; the keys of the other are revoked as of a lost one.

--- a/primrosecross/domain/target_watch.py
+++ b/primrosecross/domain/target_watch.py
@@ -11,6 +11,7 @@
 
 SILENT_AFTER_MS = 3000  # heartbeats may come seconds late
 REFUSED_GAP_MS = 20
+EARLIER_BEATS = 3  # one or two may have been held up on their way
 MAX_GRANTS = 80  # what fits into an answer of 4 KiB
 MIN_HOLD_MS = 200
 MAX_TOKENS = 256
@@ -79,6 +80,7 @@
         self._clock = clock
         self._changed = changed
         self._refused_ns = 0
+        self._earlier = ("", 0, 0)
         # An earlier process of this daemon may have granted until then.
         self._earlier_until_ns = clock.now_ns() + max_hold_ms * _NS_PER_MS
         self.beside: Beside | None = None
@@ -91,10 +93,13 @@
         """Takes a heartbeat in and returns what the target is to hold."""
         beside = self.beside
         if beside is not None and _is_late(check_in, beside.last):
-            _logger.info(
-                "a heartbeat of %s came late and changes nothing", check_in.life
-            )
-            return check_in_module.CheckInAnswer()
+            if not self._persists(check_in, beside):
+                _logger.info(
+                    "a heartbeat of %s came late and changes nothing",
+                    check_in.life,
+                )
+                return check_in_module.CheckInAnswer()
+            beside = None
         if beside is None or beside.last.life != check_in.life:
             beside = self._begin(check_in)
         before = (beside.state, beside.last.slots)
@@ -131,6 +136,25 @@
             and not any(r.overlaps(h.first, h.last) for h in beside.last.held)
         )
 
+    def _persists(
+        self, check_in: check_in_module.CheckIn, beside: Beside
+    ) -> bool:
+        """Tells whether an earlier-born life goes on while the other is silent.
+
+        A life that began after the time of day was set back is born earlier
+        than the one before it.
+        """
+        life, sequence, times = self._earlier
+        again = life == check_in.life and check_in.sequence > sequence
+        times = times + 1 if again else 1
+        self._earlier = (check_in.life, check_in.sequence, times)
+        silent_ms = (self._clock.now_ns() - beside.heard_ns) / _NS_PER_MS
+        return (
+            check_in.life != beside.last.life
+            and times >= EARLIER_BEATS
+            and silent_ms > SILENT_AFTER_MS
+        )
+
     def _begin(self, check_in: check_in_module.CheckIn) -> Beside:
         _logger.info(
             "target %s of %s checks in", check_in.life, check_in.service
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -127,6 +127,15 @@
         self.assertIsNone(self.watch.take(late).grants)
         self.assertEqual(self.watch.beside.last.instance, "i-1")
 
+    def test_a_life_born_before_a_clock_was_set_back_is_taken_in_the_end(self):
+        """The time of day jumps back between two lives (clock_step)."""
+        self.watch.take(fleet_fakes.beat(9, born_ms=1000))
+        for sequence in range(1, 6):
+            self.clock.advance(900)
+            self._prove()
+            self.watch.take(fleet_fakes.beat(sequence, born_ms=400))
+        self.assertEqual(self.watch.beside.last.born_ms, 400)
+
     def test_a_restart_under_the_same_id_is_another_life(self):
         self.watch.take(fleet_fakes.beat(7))
         answer = self.watch.take(fleet_fakes.beat(1, born_ms=2000))
