--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test check format demo bench
+SEEDS ?= 3
+
+.PHONY: setup test check format demo bench soak
 
 setup: $(STAMP)
 
@@ -25,5 +27,8 @@
 demo: setup
 	$(PYTHON) -m examples.demo
 
+soak: setup
+	$(PYTHON) -m soak --seeds $(SEEDS)
+
 bench: setup
 	$(PYTHON) -m bench
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: the real programs under faults from outside."""
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -11,6 +11,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Callable
 
 READY_S = 30.0
 LOOK_S = 0.1
@@ -60,10 +61,19 @@
     Args:
         services: Service of each VM's target.
         directory: Where settings, journals and logs are written.
+        through: Puts something before a port, and returns the port to use in
+            its place; for daemons' ways to the store and targets' to daemons.
     """
 
-    def __init__(self, *, services: list[str], directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        *,
+        services: list[str],
+        directory: pathlib.Path,
+        through: Callable[[int], int] = lambda port: port,
+    ) -> None:
         self._directory = directory
+        self._through = through
         self.store_port = _free_ports(1)[0]
         self._store: subprocess.Popen | None = None
         self.vms = [
@@ -74,8 +84,13 @@
         uses = ("app", "outbound", "ready", "control", "peer")
         ports = dict(zip(uses, _free_ports(len(uses)), strict=True))
         text = SETTINGS.format(
-            vm=vm, place="z", service=service, store=self.store_port, **ports
+            vm=vm,
+            place="z",
+            service=service,
+            store=self._through(self.store_port),
+            **ports,
         )
+        ports["beats"] = self._through(ports["control"])
         (self._directory / f"{vm}.toml").write_text(text)
         return Sidecar(vm, service, ports)
 
@@ -106,7 +121,7 @@
             f"i-{one.vm}",
             one.service,
             f"127.0.0.1:{one.ports['app']}",
-            f"127.0.0.1:{one.ports['control']}",
+            f"127.0.0.1:{one.ports['beats']}",
             "8",
             str(self._directory / f"{one.vm}.journal"),
         )
@@ -196,6 +211,47 @@
                 process.wait()
 
 
+def config(version: int, prefix: str = "/book/") -> dict:
+    """Returns a configuration with a keyed and an unkeyed service.
+
+    Args:
+        version: Its number.
+        prefix: Path prefix of the route that may not run twice.
+    """
+
+    def rule(path: str, kind: str, service: str) -> dict:
+        return {
+            "Name": path,
+            "Kind": kind,
+            "TargetLatencyMs": 400,
+            "Priority": 1,
+            "Match": {"PathPrefix": path},
+            "Action": {
+                "Service": service,
+                "TimeoutMs": 2000,
+                "MaxAttempts": 2,
+            },
+        }
+
+    return {
+        "Version": version,
+        "Listeners": [
+            {
+                "Host": "desk.example",
+                "Rules": [
+                    rule(prefix, "unsafe", "desk"),
+                    rule("/look/", "safe", "desk"),
+                    rule("/file/", "safe", "files"),
+                ],
+            }
+        ],
+        "Clusters": [
+            {"Name": "desk", "Sharded": True, "WarmS": 2.0},
+            {"Name": "files"},
+        ],
+    }
+
+
 def _free_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     for sock in sockets:
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -12,42 +12,6 @@
 RECOVER_S = 15.0  # the platform's bound for service after a full restart
 
 
-def _config(version: int, prefix: str = "/book/") -> dict:
-    """Returns a configuration with a keyed and an unkeyed service."""
-
-    def rule(path: str, kind: str, service: str) -> dict:
-        return {
-            "Name": path,
-            "Kind": kind,
-            "TargetLatencyMs": 400,
-            "Priority": 1,
-            "Match": {"PathPrefix": path},
-            "Action": {
-                "Service": service,
-                "TimeoutMs": 2000,
-                "MaxAttempts": 2,
-            },
-        }
-
-    return {
-        "Version": version,
-        "Listeners": [
-            {
-                "Host": "desk.example",
-                "Rules": [
-                    rule(prefix, "unsafe", "desk"),
-                    rule("/look/", "safe", "desk"),
-                    rule("/file/", "safe", "files"),
-                ],
-            }
-        ],
-        "Clusters": [
-            {"Name": "desk", "Sharded": True, "WarmS": 2.0},
-            {"Name": "files"},
-        ],
-    }
-
-
 class DayTest(unittest.TestCase):
     """Four VMs: three with keys, one without."""
 
@@ -60,7 +24,7 @@
         )
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
-        self.fleet.put_config(_config(1), first=True)
+        self.fleet.put_config(sidecars.config(1), first=True)
         self.sent = 0
         self._await_served(range(0, 65536, 4096), READY_S)
 
@@ -134,7 +98,7 @@
 
     def test_what_no_route_allows_is_refused_and_a_new_plan_takes_hold(self):
         self.assertEqual(self._send("/new/x", 1, method="POST")[0], 404)
-        self.fleet.put_config(_config(2, "/new/"))
+        self.fleet.put_config(sidecars.config(2, "/new/"))
         time.sleep(2.0)  # ConfigMs of the platform's bounds
         for vm in range(4):
             self.assertEqual(self._send("/new/x", 1, vm, method="POST")[0], 200)
