Answer a request whose bytes lay unread when the server retired

Retiring shuts the reading side of idle connections; one whose bytes lay unread in the kernel was read after that, and the watch for hangups took the shut side for a caller who had left. Change: a retired server does not watch for hangups. Before: the new test fails; after: it passes.

--- a/primrosecross/adapters/http_connection.py
+++ b/primrosecross/adapters/http_connection.py
@@ -358,7 +358,11 @@
         job = gevent.spawn(self._handle, request)
         self.in_flight += 1
         try:
-            with _killed_on_hangup(sock, job):
+            # The reading side of a retired connection looks like a hangup.
+            watched = contextlib.nullcontext()
+            if not self._retired:
+                watched = _killed_on_hangup(sock, job)
+            with watched:
                 job.join()
         finally:
             self.in_flight -= 1
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -247,6 +247,14 @@
         with self.assertRaises(OSError):
             socket.create_connection(self.address, timeout=1)
 
+    def test_a_request_that_came_just_before_is_answered(self):
+        """Its bytes lie unread when the server retires."""
+        with socket.create_connection(self.address, timeout=2) as sock:
+            gevent.sleep(0.05)
+            sock.sendall(b"GET /slowly HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.server.retire()  # before the server's task runs
+            self.assertIn(b" 200 ", sock.recv(1000))
+
 
 class CallerPortTest(unittest.TestCase):
     """The product's own port refuses the same."""
