--- a/primrosecross/adapters/caller_connection.py
+++ b/primrosecross/adapters/caller_connection.py
@@ -1,7 +1,6 @@
 """One caller's HTTP connection, with bounds on time and headers."""
 
 import contextlib
-import socket
 from collections.abc import Iterator
 from typing import Any
 from typing import BinaryIO
@@ -10,6 +9,7 @@
 import httptools
 from gevent import pywsgi
 
+from primrosecross.adapters import sockets
 from primrosecross.domain import request
 
 IDLE_S = 75.0
@@ -156,7 +156,7 @@
 
     def check() -> None:
         watcher.stop()
-        if _is_closed(sock):
+        if sockets.has_ended(sock):
             task.kill(block=False)
 
     watcher.start(check)
@@ -165,12 +165,3 @@
     finally:
         watcher.stop()
         watcher.close()
-
-
-def _is_closed(sock: gevent.socket.socket) -> bool:
-    try:
-        return not sock._sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
--- a/primrosecross/adapters/http_client.py
+++ b/primrosecross/adapters/http_client.py
@@ -14,6 +14,7 @@
 import httptools
 from gevent import socket as gevent_socket
 
+from primrosecross.adapters import sockets
 from primrosecross.domain import errors
 
 CONNECT_TIMEOUT_S = 1.0
@@ -218,9 +219,8 @@
         while self._kept:
             kept = self._kept.pop()
             idle_s = now_s - kept.idle_since_s
-            if idle_s < min(kept.idle_limit_s, max_idle_s) and _is_quiet(
-                kept.sock
-            ):
+            fresh = idle_s < min(kept.idle_limit_s, max_idle_s)
+            if fresh and sockets.is_quiet(kept.sock):
                 return kept.sock
             kept.sock.close()
         return None
@@ -295,19 +295,6 @@
             entry.sock.close()
 
 
-def _is_quiet(sock: gevent_socket.socket) -> bool:
-    """Tells whether nothing came on an idle connection, not even its end."""
-    try:
-        sock.setblocking(False)
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        sock.setblocking(True)
-        return True
-    except OSError:
-        return False
-    return False
-
-
 def _idle_limit_s(answer: HttpAnswer) -> float:
     """Returns how long the server keeps an idle connection, with a margin.
 
--- a/primrosecross/adapters/http_connection.py
+++ b/primrosecross/adapters/http_connection.py
@@ -22,6 +22,8 @@
 from gevent import server as gevent_server
 from gevent import socket as gevent_socket
 
+from primrosecross.adapters import sockets
+
 RECEIVE_BYTES = 64 * 1024
 CLOSE_LINGER_S = 0.3
 BACKLOG = 1024
@@ -283,7 +285,7 @@
         self._retired = self.closing = True
         self._server.close()
         for sock in list(self._idle):
-            with contextlib.suppress(OSError):  # It has just ended.
+            if sockets.is_quiet(sock):
                 sock.shutdown(socket.SHUT_RD)
 
     def _serve(self, sock: gevent_socket.socket, _: object) -> None:
@@ -408,17 +410,8 @@
     watcher = gevent.get_hub().loop.io(sock.fileno(), 1)
 
     def look() -> None:
-        try:
-            sock.setblocking(False)
-            gone = not sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return
-        except OSError:
-            gone = True
-        finally:
-            sock.setblocking(True)
         watcher.stop()  # What came is the next request, or the end.
-        if gone:
+        if sockets.has_ended(sock):
             job.kill(block=False)
 
     watcher.start(look)
