--- a/soak/day.py
+++ b/soak/day.py
@@ -1,5 +1,7 @@
 """One seeded day: callers, faults in series that overlap, and the checks."""
 
+import contextlib
+import json
 import pathlib
 import random
 import signal
@@ -18,6 +20,7 @@
 HEALED_S = 25.0  # a lease, a lost VM's silence and the platform's 15 s
 READY_S = 40.0
 KEYS = range(0, 65536, 1024)
+NO_FAULTS = {"down": False, "delay_ms": 0, "lose_answers": 0, "forgotten": 0}
 SERVICES = ("desk", "desk", "desk", "files", "desk")
 
 
@@ -206,17 +209,39 @@
                 {"forgotten": 100_000},
             )
         )
-        self._fleet.set_faults(**fault)
+        self._set_faults(fault)
         gevent.sleep(self._random.uniform(0.3, 4.0))
-        self._fleet.set_faults(down=False, delay_ms=0, forgotten=0)
+        self._set_faults(NO_FAULTS)
+
+    def _set_faults(self, faults: dict[str, object]) -> None:
+        self._ask_store("POST", "/standin/faults", faults)
 
     def _change_config(self, _: sidecars.Sidecar, version: int) -> None:
-        self._fleet.put_config(sidecars.config(version))
+        document = {
+            "Metadata": {"Name": "main"},
+            "Spec": sidecars.config(version),
+        }
+        self._ask_store("PUT", "/api/objects/config/main", document)
+
+    def _ask_store(self, method: str, path: str, document: dict) -> None:
+        """Makes a call to the store, past its proxies; it may go unanswered."""
+        body = json.dumps(document).encode()
+        head = http_client.request_head(
+            method,
+            path,
+            [("Host", "store"), ("Content-Length", str(len(body)))],
+        )
+        client = http_client.HttpClient(
+            address=f"127.0.0.1:{self._fleet.store_port}"
+        )
+        with contextlib.suppress(errors.TargetLostError):
+            client.exchange(head=head, body=body, timeout_s=1.0)
+        client.close()
 
     def _heal(self) -> None:
         for link in self._proxies:
             link.fault = proxy.Fault.NONE
-        self._fleet.set_faults(down=False, delay_ms=0, forgotten=0)
+        self._set_faults(NO_FAULTS)
         for one in self._fleet.vms:
             for process in (one.daemon, one.worker):
                 process.send_signal(signal.SIGCONT)
