Serve a leaving target's keys on, and refuse at once to a silent VM

And requests to a VM without power waited until its connection was given up, 1.4 s. Change: a leaving target serves keys that it holds for 0.6 of the time allowed; what is not sent yet is refused after two unanswered pings, 0.7 to 1 s. Ruled out: giving connections up sooner, which makes answers on lossy links unknown.

--- a/primrosecross/adapters/peer_connection.py
+++ b/primrosecross/adapters/peer_connection.py
@@ -29,6 +29,7 @@
 PROTOCOL = 2
 PING_AFTER_S = 0.35
 MISSED_PINGS = 3
+SUSPECT_PINGS = 2  # then what is not sent yet is better refused
 UNUSED_LOOKS = 3
 RECEIVE_BYTES = 256 * 1024
 MAX_ANSWERING = 2048
@@ -133,6 +134,14 @@
             or self.other is None
         )
 
+    @property
+    def suspect(self) -> bool:
+        """Tells whether nothing has come for a while that should have.
+
+        Without anything awaited the next call finds out.
+        """
+        return self._missed_pings >= SUSPECT_PINGS and self.in_use
+
     def watch(self) -> None:
         """Pings a silent connection; gives it up in the end.
 
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peer_streams.py
@@ -167,6 +167,11 @@
     ) -> messages.Message:
         """Sends a message to a VM's daemon and waits for its answer."""
         connection = self._connect(vm, messages.lane_of(message), timeout_ms)
+        if connection.suspect:
+            raise errors.PeerUnsentError(
+                f"{vm} has been silent",
+                remedy="wait until it answers or is taken for lost",
+            )
         return connection.call(message, timeout_ms=timeout_ms)
 
     def _connect(
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -61,6 +61,7 @@
         ports: The outside.
         timeline: Where events are recorded.
         max_hold_ms: Longest time for which keys are granted.
+        drain_ms: Time in which a target that leaves may still get requests.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         ports: FleetPorts,
         timeline: events.Timeline,
         max_hold_ms: int,
+        drain_ms: int,
     ) -> None:
         self._identity = identity
         self._ports = ports
@@ -77,7 +79,7 @@
         self.stopping = False
         self.state = fleet_state.FleetState()
         self.lease = proof_module.ProofLease(clock=ports.clock)
-        self._make_target_side(max_hold_ms)
+        self._make_target_side(max_hold_ms, drain_ms)
         self._make_ownership()
         self.dispatcher = dispatcher_module.Dispatcher(
             vm=identity.vm,
@@ -89,7 +91,7 @@
         )
         self._answer = self._make_handlers()
 
-    def _make_target_side(self, max_hold_ms: int) -> None:
+    def _make_target_side(self, max_hold_ms: int, drain_ms: int) -> None:
         clock = self._ports.clock
         self.watch = target_watch.TargetWatch(
             lease=self.lease,
@@ -110,6 +112,7 @@
             key_map=lambda: self.state.key_map,
             targets=self._ports.targets,
             quarantine=self.quarantine,
+            drain_ms=drain_ms,
             clock=clock,
         )
         self.state.subscribe(self.gate.note_grant)
--- a/primrosecross/domain/key_gate.py
+++ b/primrosecross/domain/key_gate.py
@@ -20,6 +20,7 @@
 
 GRANT_WAIT_MS = 900  # a heartbeat of the target and its way
 GRANT_WAIT_SHARE = 0.5  # of the time left, so that a refusal still helps
+DRAIN_SHARE = 0.6  # the rest is for requests on their way and waiting
 MAX_COUNTED_KEYS = 1024
 NOT_HERE_RETRY_MS = 200
 NO_TARGET_RETRY_MS = 1000
@@ -37,6 +38,7 @@
         key_map: Returns the map in force here.
         targets: Reaches the target.
         quarantine: Knows requests that crash targets.
+        drain_ms: Time in which a target that leaves may still get requests.
         clock: Clock that counts time spent suspended.
     """
 
@@ -47,8 +49,10 @@
         key_map: Callable[[], key_map_module.KeyMap],
         targets: target_port.Targets,
         quarantine: quarantine_module.Quarantine,
+        drain_ms: int,
         clock: clock_port.Clock,
     ) -> None:
+        self._serve_leaving_ms = drain_ms * DRAIN_SHARE
         self._watch = watch
         self._key_map = key_map
         self._targets = targets
@@ -75,6 +79,8 @@
         """Measures a new life of the target from its own answers."""
         self.times = run_times.RunTimes()
         self.queue.forget_times(self.times)
+        if self._watch.beside is not None:
+            self.queue.set_slots(self._watch.beside.last.slots)
 
     def take_counts(self) -> tuple[tuple[int, int], ...]:
         """Returns requests by key since the last call."""
@@ -112,7 +118,7 @@
             return _no_target("no target runs here")
         if beside.last.service != req.service:
             return _no_target(f"a target of {beside.last.service} runs here")
-        if self.stopping or beside.state is check_in.TargetState.DRAINING:
+        if self.stopping or self._has_left(beside, req):
             return outcome.NotRun(
                 outcome.Reason.LEAVING,
                 "the target is leaving",
@@ -120,6 +126,19 @@
             )
         return None
 
+    def _has_left(
+        self, beside: target_watch.Beside, req: request.Request
+    ) -> bool:
+        """Tells whether a leaving target gets a request no more.
+
+        It still serves keys that it holds while they are on their way to
+        others; what carries no key can be served elsewhere at once.
+        """
+        if beside.state is not check_in.TargetState.DRAINING:
+            return False
+        left_ms = (self._clock.now_ns() - beside.leaving_ns) / _NS_PER_MS
+        return not req.key or left_ms > self._serve_leaving_ms
+
     def _await_key(self, req: request.Request) -> outcome.NotRun | None:
         """Waits until the target holds the key, if it is about to."""
         key = int(req.key)
--- a/primrosecross/domain/target_watch.py
+++ b/primrosecross/domain/target_watch.py
@@ -30,6 +30,7 @@
         last: Its newest heartbeat.
         heard_ns: When that came.
         state: What it can do.
+        leaving_ns: When it said that it leaves, 0 if it did not.
         granted: Ranges of the newest answer.
         granted_before: Ranges of the answer before it.
         granted_from_ns: When the target has surely taken the newest one in.
@@ -43,6 +44,7 @@
     last: check_in_module.CheckIn
     heard_ns: int
     state: check_in_module.TargetState
+    leaving_ns: int = 0
     granted: tuple[check_in_module.GrantedRange, ...] = ()
     granted_before: tuple[check_in_module.GrantedRange, ...] = ()
     granted_from_ns: int = 0
@@ -107,6 +109,8 @@
         beside.heard_ns = self._clock.now_ns()
         if beside.state is not _State.DRAINING:
             beside.state = check_in.state
+        if beside.state is _State.DRAINING and not beside.leaving_ns:
+            beside.leaving_ns = beside.heard_ns
         given_back = self._given_back(beside)
         if before != (beside.state, check_in.slots) or (
             given_back != beside.given_back
@@ -197,6 +201,7 @@
         if beside.state is not _State.GONE:
             _logger.info("target %s leaves", beside.last.life)
             beside.state = _State.DRAINING
+            beside.leaving_ns = beside.leaving_ns or self._clock.now_ns()
             self._changed()
 
     def refused(self) -> None:
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -100,6 +100,7 @@
             ),
             timeline=timeline,
             max_hold_ms=settings.max_hold_ms,
+            drain_ms=settings.drain_ms,
         )
         self._peers.handler = self._node.handle
         self._make_servers()
--- a/primrosecross/platform/settings.py
+++ b/primrosecross/platform/settings.py
@@ -78,6 +78,7 @@
         store_address: The platform's store.
         stop_limit_ms: Time from SIGTERM to the kill.
         max_hold_ms: Longest time for which keys may be granted.
+        drain_ms: Time from a confirmed leave-taking until the last request.
         memory_bytes: Memory that the process may take, 0 if not stated.
     """
 
@@ -92,6 +93,7 @@
     store_address: str
     stop_limit_ms: int
     max_hold_ms: int
+    drain_ms: int
     memory_bytes: int
 
 
@@ -124,5 +126,6 @@
         store_address=found.platform.platform.address,
         stop_limit_ms=int(found.terms.bounds.grace_s * 1000),
         max_hold_ms=int(found.terms.bounds.hold_max_ms),
+        drain_ms=int(found.terms.bounds.drain_ms),
         memory_bytes=int(found.own.limits.memory_mb) << 20,
     )
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -68,6 +68,7 @@
                 clock=self.clock,
                 timeline=None,
             ),
+            drain_ms=2000,
             clock=self.clock,
         )
         self.dispatcher = dispatcher.Dispatcher(
@@ -272,6 +273,18 @@
         self.assertEqual(refused.reason, outcome.Reason.LEAVING)
         self.assertEqual(self.targets.ran, [])
 
+    def test_a_leaving_target_serves_its_keys_until_they_are_elsewhere(self):
+        """Targets are emptied and taken away (scale_in, release)."""
+        self._grant()
+        self._check_in()
+        self.clock.advance(target_watch.TAKE_IN_MS)
+        self.watch.leave("i-1")
+        keyed = fleet_fakes.plain_request(key="7")
+        self.assertIsInstance(self.gate.run(keyed), outcome.Answered)
+        self.clock.advance(1300)
+        refused = self.gate.run(fleet_fakes.plain_request(key="7"))
+        self.assertEqual(refused.reason, outcome.Reason.LEAVING)
+
     def test_a_request_that_crashes_targets_is_refused_the_third_time(self):
         self._check_in()
         self.targets.alive = False
--- a/tests/test_transport_peers.py
+++ b/tests/test_transport_peers.py
@@ -166,6 +166,18 @@
         kinds = [(e.vm, e.lane, e.calls_lost) for e in self.recorded]
         self.assertIn(("right", "requests", 1), kinds)
 
+    def test_what_is_not_sent_yet_is_refused_while_a_peer_is_silent(self):
+        """A VM loses power with requests on their way to it."""
+        self.call("/0")
+        self.relay.go_silent()
+        first = gevent.spawn(self.loses, "/1")
+        gevent.sleep(1.0)
+        began_s = time.monotonic()
+        with self.assertRaises(errors.PeerUnsentError):
+            self.call("/2")
+        self.assertLess(time.monotonic() - began_s, 0.1)
+        self.assertTrue(first.get())
+
     def test_idle_working_connection_is_kept(self):
         self.call("/0")
         gevent.sleep(1.5 * GIVEN_UP_S)
