--- a/tests/test_transport_peers.py
+++ b/tests/test_transport_peers.py
@@ -171,7 +171,7 @@
         self.call("/0")
         self.relay.go_silent()
         first = gevent.spawn(self.loses, "/1")
-        gevent.sleep(1.0)
+        gevent.sleep(1.2)  # two looks without an answer
         began_s = time.monotonic()
         with self.assertRaises(errors.PeerUnsentError):
             self.call("/2")
