Keep one copy of forwarded requests, lasting tasks and store errors; split the balance

Change: forwards, tasks, store_errors and range_balance are modules of their own. Ruled out: one node for both fleets, whose ownership differs.

--- a/primrosecross/adapters/object_store.py
+++ b/primrosecross/adapters/object_store.py
@@ -12,6 +12,7 @@
 from geventhttpclient import response as http_response
 
 from primrosecross.adapters import call_budget
+from primrosecross.adapters import store_errors
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import stamp
@@ -84,7 +85,7 @@
         status, body = self._request("GET", _path(kind, name))
         if status == 404:
             return None
-        _expect(status, (200,), kind, name)
+        store_errors.expect(status, (200,), kind, name)
         found = _stored(kind, body)
         self._observe(body["metadata"])
         return found
@@ -96,8 +97,8 @@
         body = self._document(kind, name, "", spec)
         status, answer = self._request("POST", _path(kind), body)
         if status == 409:
-            raise _conflict(kind, name)
-        _expect(status, (200, 201), kind, name)
+            raise store_errors.conflict(kind, name)
+        store_errors.expect(status, (200, 201), kind, name)
         return _stored(kind, answer)
 
     def update(
@@ -107,8 +108,8 @@
         body = self._document(kind, name, version, spec)
         status, answer = self._request("PUT", _path(kind, name), body)
         if status in (404, 409):
-            raise _conflict(kind, name)
-        _expect(status, (200,), kind, name)
+            raise store_errors.conflict(kind, name)
+        store_errors.expect(status, (200,), kind, name)
         return _stored(kind, answer)
 
     def wait_for_change(self, kind: str, version: str, timeout_ms: int) -> bool:
@@ -125,11 +126,11 @@
             answer = client.get(path)
             if answer.status_code == 410:
                 return True
-            _expect(answer.status_code, (200,), kind, "watch")
+            store_errors.expect(answer.status_code, (200,), kind, "watch")
             return bool(answer.readline().strip())
         except (OSError, ValueError, http_response.HTTPConnectionClosed) as e:
             self._budget.failed()
-            raise _unavailable(e) from e
+            raise store_errors.unavailable(e) from e
         finally:
             client.close()
 
@@ -145,16 +146,16 @@
             content = json.loads(answer.read() or b"{}")
         except ConnectionRefusedError as error:
             self._note_outage(str(error))
-            raise _unavailable(error) from error
+            raise store_errors.unavailable(error) from error
         except (OSError, ValueError, http_response.HTTPConnectionClosed) as e:
             self._note_outage(str(e))
-            raise _failed(method, e) from e
+            raise store_errors.failed(method, e) from e
         if status == 429:
             self._note_outage("status 429")
-            raise _unavailable("status 429")
+            raise store_errors.unavailable("status 429")
         if status >= 500:
             self._note_outage(f"status {status}")
-            raise _failed(method, f"status {status}")
+            raise store_errors.failed(method, f"status {status}")
         self._note_answer()
         return status, content
 
@@ -212,34 +213,3 @@
             f"the store's answer for {kind} lacks {error}",
             remedy="check that store_url is the platform's object API",
         ) from error
-
-
-def _expect(status: int, wanted: tuple[int, ...], kind: str, name: str) -> None:
-    if status not in wanted:
-        raise errors.StoreObjectError(
-            f"the store answered {status} for {kind}/{name}",
-            remedy="check that store_url is the platform's object API",
-        )
-
-
-def _conflict(kind: str, name: str) -> errors.StoreConflictError:
-    return errors.StoreConflictError(
-        f"{kind}/{name} has changed in the store",
-        remedy="read it again and decide anew",
-    )
-
-
-def _unavailable(cause: object) -> errors.StoreUnavailableError:
-    return errors.StoreUnavailableError(
-        f"the platform's store does not answer: {cause}",
-        remedy="owners go on; check the store and the network to it",
-    )
-
-
-def _failed(method: str, cause: object) -> errors.StoreError:
-    if method == "GET":
-        return _unavailable(cause)
-    return errors.StoreAnswerLostError(
-        f"the answer to a write was lost: {cause}",
-        remedy="read the object to learn whether the write took effect",
-    )
--- a/primrosecross/domain/dispatcher.py
+++ b/primrosecross/domain/dispatcher.py
@@ -9,12 +9,12 @@
 from primrosecross.domain import body as body_module
 from primrosecross.domain import errors
 from primrosecross.domain import fleet_state
+from primrosecross.domain import forwards
 from primrosecross.domain import gate_choice
 from primrosecross.domain import key_gate
 from primrosecross.domain import outcome
 from primrosecross.domain import replies
 from primrosecross.domain import request
-from primrosecross.domain import request_messages
 from primrosecross.domain import retry
 from primrosecross.domain import routes
 from primrosecross.ports import clock as clock_port
@@ -265,23 +265,10 @@
             return outcome.NotRun(
                 outcome.Reason.DEADLINE, "the deadline passed before sending"
             )
-        message = request_messages.Forward(
-            request_id=req.request_id,
-            service=req.service,
-            key=req.key,
-            method=req.method,
-            path=req.path,
-            headers=req.headers,
-            body=body_module.framed(req.body),
-            idempotent=req.idempotent,
-            identified=req.identified,
-            attempt=req.attempt,
-            generation=0,
+        message = forwards.message_of(
+            req,
             timeout_ms=left_ms,
-            priority=req.priority,
-            objective_ms=req.objective_ms,
-            origin=req.origin,
-            waited_ms=req.waited_ms,
+            body=body_module.framed(req.body),
         )
         try:
             reply = self._peers.call(vm, message, timeout_ms=left_ms)
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -5,8 +5,6 @@
 import logging
 from collections.abc import Callable
 
-import gevent
-
 from primrosecross.domain import body
 from primrosecross.domain import check_in
 from primrosecross.domain import dispatcher as dispatcher_module
@@ -16,6 +14,7 @@
 from primrosecross.domain import fleet_messages
 from primrosecross.domain import fleet_state
 from primrosecross.domain import follower as follower_module
+from primrosecross.domain import forwards
 from primrosecross.domain import key_gate
 from primrosecross.domain import membership
 from primrosecross.domain import messages
@@ -26,10 +25,10 @@
 from primrosecross.domain import quarantine as quarantine_module
 from primrosecross.domain import range_coordinator
 from primrosecross.domain import replies
-from primrosecross.domain import request
 from primrosecross.domain import request_messages
 from primrosecross.domain import stream_messages
 from primrosecross.domain import target_watch
+from primrosecross.domain import tasks
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import fleet_store
 from primrosecross.ports import peers as peers_port
@@ -37,7 +36,6 @@
 
 TERM = election_module.TermTiming(renew_ms=500, term_ms=1500, reserve_ms=500)
 LOOK_MS = 200
-TASK_RETRY_MS = 500
 
 _logger = logging.getLogger(__name__)
 
@@ -196,31 +194,13 @@
     def _answer_forward(
         self, forward: request_messages.Forward
     ) -> messages.Message:
-        deadline_ns = (
-            self._ports.clock.now_ns()
-            + forward.timeout_ms * proof_module.NS_PER_MS
-        )
         try:
             content = body.whole(forward.body)
         except errors.BodyError as error:
             refusal = outcome.NotRun(outcome.Reason.BODY_CUT, str(error))
             return replies.reply_of(refusal, forward.request_id)
-        req = request.Request(
-            request_id=forward.request_id,
-            service=forward.service,
-            key=forward.key,
-            method=forward.method,
-            path=forward.path,
-            headers=forward.headers,
-            body=content,
-            idempotent=forward.idempotent,
-            deadline_ns=deadline_ns,
-            identified=forward.identified,
-            attempt=forward.attempt,
-            priority=forward.priority,
-            objective_ms=forward.objective_ms,
-            origin=forward.origin,
-            waited_ms=forward.waited_ms,
+        req = forwards.request_of(
+            forward, now_ns=self._ports.clock.now_ns(), body=content
         )
         result = self.gate.run(req)
         if not isinstance(result, outcome.Answered):
@@ -299,24 +279,17 @@
 
     def start(self) -> None:
         """Starts the daemon's tasks."""
-        for task in (
-            self.election.run,
-            self.follower.run,
-            self.coordinator.run,
-            self.plan_watch.run,
-            self.quarantine.run,
-            self._look_at_target,
-        ):
-            gevent.spawn(self._keep_running, task)
-
-    def _keep_running(self, task: Callable[[], None]) -> None:
-        """Runs a task again when it fails, so that one fault stops no other."""
-        while True:
-            try:
-                task()
-            except Exception:
-                _logger.exception("a task failed; it is started again")
-                self._ports.clock.sleep(TASK_RETRY_MS)
+        tasks.start(
+            (
+                self.election.run,
+                self.follower.run,
+                self.coordinator.run,
+                self.plan_watch.run,
+                self.quarantine.run,
+                self._look_at_target,
+            ),
+            clock=self._ports.clock,
+        )
 
     def _look_at_target(self) -> None:
         while True:
--- /dev/null
+++ b/primrosecross/domain/forwards.py
@@ -0,0 +1,73 @@
+"""Requests as messages between daemons, and back."""
+
+from primrosecross.domain import body as body_module
+from primrosecross.domain import lease
+from primrosecross.domain import request
+from primrosecross.domain import request_messages
+
+
+def message_of(
+    req: request.Request,
+    *,
+    timeout_ms: int,
+    generation: int = 0,
+    body: body_module.Body | None = None,
+) -> request_messages.Forward:
+    """Returns the message that hands a request to another daemon.
+
+    Args:
+        req: The request.
+        timeout_ms: Time left until its deadline.
+        generation: Grant under which the receiver is believed to own its key.
+        body: Its body as it is sent, if not as the request holds it.
+    """
+    return request_messages.Forward(
+        request_id=req.request_id,
+        service=req.service,
+        key=req.key,
+        method=req.method,
+        path=req.path,
+        headers=req.headers,
+        body=req.body if body is None else body,
+        idempotent=req.idempotent,
+        identified=req.identified,
+        attempt=req.attempt,
+        generation=generation,
+        timeout_ms=timeout_ms,
+        priority=req.priority,
+        objective_ms=req.objective_ms,
+        origin=req.origin,
+        waited_ms=req.waited_ms,
+    )
+
+
+def request_of(
+    forward: request_messages.Forward,
+    *,
+    now_ns: int,
+    body: body_module.Body | None = None,
+) -> request.Request:
+    """Returns the request that a message hands over.
+
+    Args:
+        forward: The message.
+        now_ns: Time on this VM's boot clock.
+        body: Its body as it is held, if not as it came.
+    """
+    return request.Request(
+        request_id=forward.request_id,
+        service=forward.service,
+        key=forward.key,
+        method=forward.method,
+        path=forward.path,
+        headers=forward.headers,
+        body=forward.body if body is None else body,
+        idempotent=forward.idempotent,
+        deadline_ns=now_ns + forward.timeout_ms * lease.NS_PER_MS,
+        identified=forward.identified,
+        attempt=forward.attempt,
+        priority=forward.priority,
+        objective_ms=forward.objective_ms,
+        origin=forward.origin,
+        waited_ms=forward.waited_ms,
+    )
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -5,8 +5,6 @@
 import logging
 from collections.abc import Callable
 
-import gevent
-
 from primrosecross.domain import announcements
 from primrosecross.domain import answers as answers_module
 from primrosecross.domain import attempts as attempts_module
@@ -16,6 +14,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import executor as executor_module
+from primrosecross.domain import forwards
 from primrosecross.domain import handover
 from primrosecross.domain import holders as holders_module
 from primrosecross.domain import lease as lease_module
@@ -30,7 +29,6 @@
 from primrosecross.domain import operator_messages
 from primrosecross.domain import quarantine as quarantine_module
 from primrosecross.domain import replies
-from primrosecross.domain import request
 from primrosecross.domain import request_messages
 from primrosecross.domain import ring as ring_module
 from primrosecross.domain import router as router_module
@@ -38,6 +36,7 @@
 from primrosecross.domain import state as state_module
 from primrosecross.domain import stream_messages
 from primrosecross.domain import sync as sync_module
+from primrosecross.domain import tasks
 from primrosecross.domain import witness
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import clock as clock_port
@@ -46,7 +45,6 @@
 
 PLAN_WATCH_MS = 30_000
 PLAN_RETRY_MS = 1000
-TASK_RETRY_MS = 1000
 
 _logger = logging.getLogger(__name__)
 
@@ -276,26 +274,7 @@
     def _answer_forward(
         self, forward: request_messages.Forward
     ) -> messages.Message:
-        deadline_ns = (
-            self._ports.clock.now_ns()
-            + forward.timeout_ms * lease_module.NS_PER_MS
-        )
-        req = request.Request(
-            request_id=forward.request_id,
-            service=forward.service,
-            key=forward.key,
-            method=forward.method,
-            path=forward.path,
-            headers=forward.headers,
-            body=forward.body,
-            idempotent=forward.idempotent,
-            deadline_ns=deadline_ns,
-            identified=forward.identified,
-            attempt=forward.attempt,
-            priority=forward.priority,
-            objective_ms=forward.objective_ms,
-            origin=forward.origin,
-        )
+        req = forwards.request_of(forward, now_ns=self._ports.clock.now_ns())
         return replies.reply_of(self.executor.execute(req), req.request_id)
 
     def _report(
@@ -335,28 +314,21 @@
 
     def start(self) -> None:
         """Starts the daemon's tasks."""
-        for task in (
-            self.election.run,
-            self.coordinator.run,
-            self.membership.run,
-            self.membership.watch_others,
-            self.hand_over.run,
-            self.load.run,
-            self._announcements.run,
-            self.ring.run,
-            self.quarantine.run,
-            self._watch_plan,
-        ):
-            gevent.spawn(self._keep_running, task)
-
-    def _keep_running(self, task: Callable[[], None]) -> None:
-        """Runs a task again when it fails, so that one fault stops no other."""
-        while True:
-            try:
-                task()
-            except Exception:
-                _logger.exception("a task failed; it is started again")
-                self._ports.clock.sleep(TASK_RETRY_MS)
+        tasks.start(
+            (
+                self.election.run,
+                self.coordinator.run,
+                self.membership.run,
+                self.membership.watch_others,
+                self.hand_over.run,
+                self.load.run,
+                self._announcements.run,
+                self.ring.run,
+                self.quarantine.run,
+                self._watch_plan,
+            ),
+            clock=self._ports.clock,
+        )
 
     def _watch_plan(self) -> None:
         """While in office, brings plan changes in from the store."""
--- a/primrosecross/domain/range_decisions.py
+++ b/primrosecross/domain/range_decisions.py
@@ -12,14 +12,9 @@
 from primrosecross.domain import fleet_messages
 from primrosecross.domain import key_load
 from primrosecross.domain import key_map as key_map_module
+from primrosecross.domain import range_balance
 
-BALANCE_SLACK = 0.3  # of a mean target's fill, before keys are moved
-BALANCE_MIN_FILL = 0.7  # below that a target refuses nothing
-MAX_MOVES = 4  # at once, for each service
-MAX_ROWS = 48  # for each target, so that its answers stay small
-WIDTH_WEIGHT = 0.15  # share of the load that is spread over all keys alike
 DEFAULT_TYPICAL_MS = 100
-MIN_PIECE_SHARE = 0.1
 _READY = check_in.TargetState.READY.value
 _KeyRange = key_map_module.KeyRange
 _State = key_map_module.HolderState
@@ -67,28 +62,6 @@
     settled_version: int
 
 
-@dataclasses.dataclass(slots=True)
-class _Able:
-    """A target that may get keys.
-
-    Attributes:
-        capacity: Requests a second that it can run.
-        load: Requests a second of its keys.
-        rows: Ranges that it holds or will get.
-    """
-
-    life: str
-    vm: str
-    capacity: float
-    load: float = 0.0
-    rows: int = 0
-
-    @property
-    def fill(self) -> float:
-        """Load as a share of the capacity."""
-        return self.load / self.capacity
-
-
 def decide(
     current: key_map_module.KeyMap, situation: Situation
 ) -> key_map_module.KeyMap | None:
@@ -164,22 +137,27 @@
 
     def settle(self, service: str) -> None:
         """Frees, hands over, gives out and balances one service's keys."""
-        able = self._able(service)
+        balance = range_balance.Balance(
+            able=self._able(service),
+            load=self._situation.loads.get(service),
+            settled_version=self._situation.settled_version,
+        )
         table = self._tables.get(service)
         if table is None:
-            if not able or not self._situation.may_begin:
+            if not balance.able or not self._situation.may_begin:
                 return
             table = key_map_module.RangeTable.free()
-        table = self._free(table, able)
-        table = self._hand_over(table, able)
-        table = self._empty_leaving(table, able, service)
-        table = self._give_out(table, able, service)
-        table = self._balance(table, able, service)
+        table = self._free(table, balance)
+        table = self._hand_over(table, balance)
+        if balance.able:
+            table = self._empty_leaving(table, balance)
+            table = self._give_out(table, balance)
+            table = balance.even_out(table)
         self._tables[service] = table
-        self._name_holders(table, able, service)
+        self._name_holders(table, balance, service)
 
-    def _able(self, service: str) -> dict[str, _Able]:
-        found = {}
+    def _able(self, service: str) -> list[range_balance.Able]:
+        found = []
         for vm, seen in self._situation.seen.items():
             target = seen.target
             if target is None or seen.lost or seen.report.stopping:
@@ -188,11 +166,11 @@
                 continue
             typical_ms = target.typical_ms or DEFAULT_TYPICAL_MS
             capacity = max(1, target.slots) * 1000.0 / typical_ms
-            found[target.life] = _Able(target.life, vm, capacity)
+            found.append(range_balance.Able(target.life, vm, capacity))
         return found
 
     def _free(
-        self, table: key_map_module.RangeTable, able: dict[str, _Able]
+        self, table: key_map_module.RangeTable, balance: range_balance.Balance
     ) -> key_map_module.RangeTable:
         """Frees the ranges of lives that can hold them no more.
 
@@ -203,12 +181,14 @@
             if held.holder not in self._holders:
                 continue
             if held.holder in self._over or self._is_forfeited(held):
-                changes.append(self._freed(held, able))
+                changes.append(self._freed(held, balance))
         return table.replaced(changes) if changes else table
 
-    def _freed(self, held: _KeyRange, able: dict[str, _Able]) -> _KeyRange:
+    def _freed(
+        self, held: _KeyRange, balance: range_balance.Balance
+    ) -> _KeyRange:
         vm = self._holders[held.holder].vm
-        heirs = [a.life for a in able.values() if a.vm == vm]
+        heirs = [a.life for a in balance.able.values() if a.vm == vm]
         if not heirs:
             return dataclasses.replace(
                 held, holder=key_map_module.NO_ONE, token=""
@@ -230,7 +210,7 @@
         )
 
     def _hand_over(
-        self, table: key_map_module.RangeTable, able: dict[str, _Able]
+        self, table: key_map_module.RangeTable, balance: range_balance.Balance
     ) -> key_map_module.RangeTable:
         """Gives what was released to its receiver."""
         changes = []
@@ -240,7 +220,7 @@
             token = self._released_token(held)
             if token is None:
                 continue
-            receiver = held.receiver if held.receiver in able else ""
+            receiver = held.receiver if held.receiver in balance.able else ""
             changes.append(
                 dataclasses.replace(
                     held,
@@ -268,24 +248,21 @@
     def _empty_leaving(
         self,
         table: key_map_module.RangeTable,
-        able: dict[str, _Able],
-        service: str,
+        balance: range_balance.Balance,
     ) -> key_map_module.RangeTable:
         """Finds receivers for the keys of targets that leave."""
-        if not able:
-            return table
-        self._measure(table, able, service)
+        balance.measure(table)
         changes: list[_KeyRange] = []
         for held in table.ranges:
             leaving = held.holder != "" and self._leaves(held.holder)
-            stranded = held.receiver != "" and held.receiver not in able
-            if held.receiver in able or not (leaving or stranded):
+            stranded = held.receiver != "" and held.receiver not in balance.able
+            if held.receiver in balance.able or not (leaving or stranded):
                 continue
-            if stranded and held.holder in able:
+            if stranded and held.holder in balance.able:
                 # Its holder may have let go already and gets it anew.
                 changes.append(dataclasses.replace(held, receiver=held.holder))
                 continue
-            for piece, life in self._divide(held, able, service):
+            for piece, life in balance.divide(held):
                 changes.append(dataclasses.replace(piece, receiver=life))
         return table.replaced(changes) if changes else table
 
@@ -302,18 +279,15 @@
     def _give_out(
         self,
         table: key_map_module.RangeTable,
-        able: dict[str, _Able],
-        service: str,
+        balance: range_balance.Balance,
     ) -> key_map_module.RangeTable:
         """Gives free ranges to targets that have room."""
-        if not able:
-            return table
-        self._measure(table, able, service)
+        balance.measure(table)
         changes: list[_KeyRange] = []
         for held in table.ranges:
             if held.holder != key_map_module.NO_ONE:
                 continue
-            for piece, life in self._divide(held, able, service):
+            for piece, life in balance.divide(held):
                 changes.append(
                     dataclasses.replace(
                         piece,
@@ -324,169 +298,19 @@
                 )
         return table.replaced(changes) if changes else table
 
-    def _weight(self, service: str, first: int, last: int) -> float:
-        """Returns the load of keys, part of it spread over all alike."""
-        load = self._situation.loads.get(service)
-        if load is None:
-            return (last - first + 1) / (key_map_module.LAST_KEY + 1)
-        spread = max(load.total(), 1.0) * WIDTH_WEIGHT
-        width = (last - first + 1) / (key_map_module.LAST_KEY + 1)
-        return load.between(first, last) + spread * width
-
-    def _measure(
-        self,
-        table: key_map_module.RangeTable,
-        able: dict[str, _Able],
-        service: str,
-    ) -> None:
-        for one in able.values():
-            one.load = 0.0
-            one.rows = 0
-        for held in table.ranges:
-            owner = able.get(held.receiver or held.holder)
-            if owner is not None:
-                owner.load += self._weight(service, held.first, held.last)
-                owner.rows += 1
-
-    def _divide(
-        self, free: _KeyRange, able: dict[str, _Able], service: str
-    ) -> list[tuple[_KeyRange, str]]:
-        """Divides a range over targets, by the room that each has left."""
-        total = sum(a.load for a in able.values())
-        total += self._weight(service, free.first, free.last)
-        mean = total / sum(a.capacity for a in able.values())
-        pieces: list[tuple[_KeyRange, str]] = []
-        first = free.first
-        while first <= free.last:
-            taker = max(able.values(), key=lambda a: mean * a.capacity - a.load)
-            room = mean * taker.capacity - taker.load
-            last = self._cut_at(service, first, free.last, room)
-            weight = self._weight(service, first, last)
-            rest = self._weight(service, last + 1, free.last)
-            if rest < MIN_PIECE_SHARE * mean * taker.capacity:
-                weight += rest
-                last = free.last
-            pieces.append((free.cut(first, last), taker.life))
-            taker.load += weight
-            taker.rows += 1
-            first = last + 1
-        return pieces
-
-    def _cut_at(self, service: str, first: int, last: int, room: float) -> int:
-        """Returns the key up to which a range weighs no more than the room."""
-        low, high = first, last
-        while low < high:
-            middle = (low + high + 1) // 2
-            if self._weight(service, first, middle) <= room:
-                low = middle
-            else:
-                high = middle - 1
-        return low
-
-    def _balance(
-        self,
-        table: key_map_module.RangeTable,
-        able: dict[str, _Able],
-        service: str,
-    ) -> key_map_module.RangeTable:
-        """Moves busy keys from the fullest target to the emptiest."""
-        load = self._situation.loads.get(service)
-        if load is None or len(able) < 2:
-            return table
-        moving = sum(r.receiver != "" for r in table.ranges)
-        while moving < MAX_MOVES:
-            self._measure(table, able, service)
-            change = self._next_move(table, able, load, service)
-            if change is None:
-                break
-            table = table.replaced([change])
-            moving += 1
-        return table
-
-    def _next_move(
-        self,
-        table: key_map_module.RangeTable,
-        able: dict[str, _Able],
-        load: key_load.KeyLoad,
-        service: str,
-    ) -> _KeyRange | None:
-        mean = sum(a.load for a in able.values()) / sum(
-            a.capacity for a in able.values()
-        )
-        full = max(able.values(), key=lambda a: a.fill)
-        empty = min(able.values(), key=lambda a: a.fill)
-        idle = empty.rows == 0 and full.rows > 0
-        if not idle and (
-            full.fill < BALANCE_MIN_FILL
-            or full.fill - mean < BALANCE_SLACK * mean
-            or full.fill - empty.fill < 2 * BALANCE_SLACK * mean
-        ):
-            return None
-        if empty.rows >= MAX_ROWS or full.rows >= MAX_ROWS:
-            return None
-        excess = (full.fill - mean) * full.capacity
-        room = (mean - empty.fill) * empty.capacity
-        at_most = min(max(excess, room / 2 if idle else 0.0), room)
-        return self._best_slice(table, full, empty, load, at_most, service)
-
-    def _best_slice(
-        self,
-        table: key_map_module.RangeTable,
-        full: _Able,
-        empty: _Able,
-        load: key_load.KeyLoad,
-        at_most: float,
-        service: str,
-    ) -> _KeyRange | None:
-        """Returns the fewest keys that carry about the load to be moved."""
-        best: tuple[float, _KeyRange] | None = None
-        for held in table.held_by(full.life):
-            moving = held.receiver != key_map_module.NO_ONE
-            if moving or held.generation > self._situation.settled_version:
-                continue
-            found = load.densest(held.first, held.last, at_most=at_most)
-            if found is None:
-                continue
-            first, last, rate = found
-            if rate < 0.2 * at_most:
-                continue
-            worth = rate / (last - first + 64)
-            if best is None or worth > best[0]:
-                piece = held.cut(first, last)
-                best = (worth, dataclasses.replace(piece, receiver=empty.life))
-        if best is not None or empty.rows:
-            return None if best is None else best[1]
-        return self._any_slice(table, full, empty, at_most, service)
-
-    def _any_slice(
-        self,
-        table: key_map_module.RangeTable,
-        full: _Able,
-        empty: _Able,
-        at_most: float,
-        service: str,
-    ) -> _KeyRange | None:
-        """Returns keys without much load for a target that has none."""
-        held = [r for r in table.held_by(full.life) if not r.receiver]
-        if not held:
-            return None
-        widest = max(held, key=lambda r: r.size)
-        last = self._cut_at(service, widest.first, widest.last, at_most)
-        piece = widest.cut(widest.first, last)
-        return dataclasses.replace(piece, receiver=empty.life)
-
     def _name_holders(
         self,
         table: key_map_module.RangeTable,
-        able: dict[str, _Able],
+        balance: range_balance.Balance,
         service: str,
     ) -> None:
         """Adds the lives that the table now names."""
         for held in table.ranges:
             for life in (held.holder, held.receiver):
-                if life in able and life not in self._holders:
+                found = balance.able.get(life)
+                if found is not None and life not in self._holders:
                     self._holders[life] = key_map_module.Holder(
-                        life=life, vm=able[life].vm, service=service
+                        life=life, vm=found.vm, service=service
                     )
 
     def forget_holders(self) -> None:
--- a/primrosecross/domain/router.py
+++ b/primrosecross/domain/router.py
@@ -10,6 +10,7 @@
 from primrosecross.domain import choice as choice_module
 from primrosecross.domain import errors
 from primrosecross.domain import executor as executor_module
+from primrosecross.domain import forwards
 from primrosecross.domain import holders
 from primrosecross.domain import identity
 from primrosecross.domain import lease as lease_module
@@ -17,7 +18,6 @@
 from primrosecross.domain import plan
 from primrosecross.domain import replies
 from primrosecross.domain import request
-from primrosecross.domain import request_messages
 from primrosecross.domain import resends
 from primrosecross.domain import retry
 from primrosecross.domain import state as state_module
@@ -194,19 +194,10 @@
             return outcome.NotRun(
                 outcome.Reason.DEADLINE, "the deadline passed before sending"
             )
-        message = request_messages.Forward(
-            request_id=req.request_id,
-            service=req.service,
-            key=req.key,
-            method=req.method,
-            path=req.path,
-            headers=req.headers,
-            body=req.body,
-            idempotent=req.idempotent,
-            identified=req.identified,
-            attempt=req.attempt,
-            generation=choice.generation,
+        message = forwards.message_of(
+            req,
             timeout_ms=timeout_ms,
+            generation=choice.generation,
         )
         try:
             reply = self._peers.call(choice.vm, message, timeout_ms=timeout_ms)
--- /dev/null
+++ b/primrosecross/domain/tasks.py
@@ -0,0 +1,30 @@
+"""Tasks that run as long as the daemon."""
+
+import logging
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import gevent
+
+from primrosecross.ports import clock as clock_port
+
+RETRY_MS = 1000
+
+_logger = logging.getLogger(__name__)
+
+
+def start(
+    tasks: Iterable[Callable[[], None]], *, clock: clock_port.Clock
+) -> None:
+    """Starts tasks; one that fails is started again and stops no other."""
+    for task in tasks:
+        gevent.spawn(_keep_running, task, clock)
+
+
+def _keep_running(task: Callable[[], None], clock: clock_port.Clock) -> None:
+    while True:
+        try:
+            task()
+        except Exception:
+            _logger.exception("a task failed; it is started again")
+            clock.sleep(RETRY_MS)
--- a/primrosecross/platform/store.py
+++ b/primrosecross/platform/store.py
@@ -10,6 +10,7 @@
 
 from primrosecross.adapters import call_budget
 from primrosecross.adapters import http_client
+from primrosecross.adapters import store_errors
 from primrosecross.domain import errors
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import store as store_port
@@ -76,7 +77,7 @@
         status, body = self._call("GET", _path(kind, name))
         if status == 404:
             return None
-        _expect(status, (200,), kind, name)
+        store_errors.expect(status, (200,), kind, name)
         return _stored(kind, name, body)
 
     def create(
@@ -86,8 +87,8 @@
         document = {"Metadata": {"Name": name}, "Spec": spec}
         status, body = self._call("POST", _path(kind), document)
         if status == 409:
-            raise _conflict(kind, name)
-        _expect(status, (200, 201), kind, name)
+            raise store_errors.conflict(kind, name)
+        store_errors.expect(status, (200, 201), kind, name)
         return _stored(kind, name, body)
 
     def update(
@@ -100,8 +101,8 @@
         }
         status, body = self._call("PUT", _path(kind, name), document)
         if status in (404, 409):
-            raise _conflict(kind, name)
-        _expect(status, (200,), kind, name)
+            raise store_errors.conflict(kind, name)
+        store_errors.expect(status, (200,), kind, name)
         return _stored(kind, name, body)
 
     def wait_for_change(self, kind: str, version: str, timeout_ms: int) -> bool:
@@ -119,10 +120,10 @@
         )
         if status == 410:
             status, body = self._call("GET", _path(kind))
-            _expect(status, (200,), kind, "list")
+            store_errors.expect(status, (200,), kind, "list")
             self._watched[kind] = _decode(kind, body, _Listed).current_rev
             return True
-        _expect(status, (200,), kind, "watch")
+        store_errors.expect(status, (200,), kind, "watch")
         found = _decode(kind, body, _Watched)
         self._watched[kind] = found.current_rev
         return bool(found.events)
@@ -152,15 +153,15 @@
             )
         except errors.TargetUnsentError as error:
             self._note_failure(str(error))
-            raise _unavailable(error.problem) from error
+            raise store_errors.unavailable(error.problem) from error
         except errors.TargetLostError as error:
             self._note_failure(str(error))
-            raise _failed(method, error.problem) from error
+            raise store_errors.failed(method, error.problem) from error
         if answer.status == 429 or answer.status >= 500:
             self._note_failure(f"status {answer.status}")
             if answer.status in (429, 503):  # Nothing was done.
-                raise _unavailable(f"status {answer.status}")
-            raise _failed(method, f"status {answer.status}")
+                raise store_errors.unavailable(f"status {answer.status}")
+            raise store_errors.failed(method, f"status {answer.status}")
         self._note_answer()
         return answer.status, answer.body
 
@@ -204,40 +205,8 @@
         raise _foreign(kind, "all", error) from error
 
 
-def _expect(
-    status: int, allowed: tuple[int, ...], kind: str, name: str
-) -> None:
-    if status not in allowed:
-        raise errors.StoreUnavailableError(
-            f"the store answered {status} for {kind}/{name}",
-            remedy="check that the store speaks the published interface",
-        )
-
-
-def _conflict(kind: str, name: str) -> errors.StoreConflictError:
-    return errors.StoreConflictError(
-        f"{kind}/{name} changed meanwhile", remedy="read it again"
-    )
-
-
 def _foreign(kind: str, name: str, error: object) -> errors.StoreObjectError:
     return errors.StoreObjectError(
         f"{kind}/{name} is foreign: {error}",
         remedy="restore the object; another writer changed it",
     )
-
-
-def _unavailable(problem: object) -> errors.StoreUnavailableError:
-    return errors.StoreUnavailableError(
-        f"the store does not answer: {problem}",
-        remedy="check the store; the daemon tries again",
-    )
-
-
-def _failed(method: str, problem: object) -> errors.StoreError:
-    if method == "GET":
-        return _unavailable(problem)
-    return errors.StoreAnswerLostError(
-        f"the store's answer was lost: {problem}",
-        remedy="read the object to learn whether the write took effect",
-    )
