Refuse at once what waits for a VM out of reach

Change: a key whose VM cannot be reached, or whose holder is being revoked, is refused at once; its caller may turn elsewhere or come back. Ruled out: a shorter lease, which ends healthy holds in store outages of 4.5 s.

--- a/primrosecross/domain/dispatcher.py
+++ b/primrosecross/domain/dispatcher.py
@@ -12,6 +12,7 @@
 from primrosecross.domain import forwards
 from primrosecross.domain import gate_choice
 from primrosecross.domain import key_gate
+from primrosecross.domain import key_map as key_map_module
 from primrosecross.domain import outcome
 from primrosecross.domain import replies
 from primrosecross.domain import request
@@ -302,14 +303,27 @@
             return step if places < MAX_PLACES and vm else _Next.RETURN
         if step is _Next.FOLLOW_KEY and req.key:
             in_time = self._clock.now_ns() < attempts.follow_until_ns
-            return step if in_time and self._may_come(req) else _Next.RETURN
+            may_come = in_time and self._may_come(req, vm, result)
+            return step if may_come else _Next.RETURN
         return _Next.RETURN
 
-    def _may_come(self, req: request.Request) -> bool:
-        """Tells whether a key's holder is alive or about to change."""
+    def _may_come(
+        self, req: request.Request, vm: str, result: outcome.Outcome
+    ) -> bool:
+        """Tells whether a key's holder is alive or about to change.
+
+        Args:
+            req: The request.
+            vm: Where it was sent.
+            result: What became of it there.
+        """
         found, holder = self._state.key_map.find(req.service, int(req.key))
         if holder is None:
             return bool(self._state.key_map.tables)
+        if holder.state is key_map_module.HolderState.REVOKING:
+            return False
+        if holder.vm == vm and _is_unreachable(result):
+            return False
         entry = self._state.entries.get(holder.vm)
         lost = entry is None or entry.state in ("lost", "silent")
         return not lost or bool(found.receiver)
@@ -340,6 +354,13 @@
     return _AFTER_LOSS.get(result.reason, _Next.RETURN)
 
 
+def _is_unreachable(result: outcome.Outcome) -> bool:
+    return (
+        isinstance(result, outcome.NotRun)
+        and result.reason is outcome.Reason.OWNER_UNREACHABLE
+    )
+
+
 def _held(result: outcome.Outcome) -> outcome.Outcome:
     """Returns an outcome whose body, if it has one, has come whole."""
     if not isinstance(result, outcome.Answered):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -213,6 +213,34 @@
         self.assertIsInstance(self._run(key="7"), outcome.NotRun)
         self.assertEqual(self.clock.now_ns(), began_ns)
 
+    def test_a_key_whose_vm_is_out_of_reach_is_refused_at_once(self):
+        """A VM is gone before anybody has noticed (replace_core, power)."""
+        self._know(_entry("b"))
+        holder = key_map.KeyRange(0, _LAST, "i-2@1", 3)
+        self.state.offer_map(fleet_fakes.map_of(holder, vms={"i-2@1": "b"}))
+        began_ns = self.clock.now_ns()
+        result = self._run(key="7")
+        self.assertEqual(result.reason, outcome.Reason.OWNER_UNREACHABLE)
+        self.assertEqual(self.clock.now_ns(), began_ns)
+        self.assertEqual(len(self._forwards()), 1)
+
+    def test_a_key_that_is_being_revoked_is_refused_at_once(self):
+        self._know(_entry("b"))
+        found = fleet_fakes.map_of(
+            key_map.KeyRange(0, _LAST, "i-2@1", 3), vms={"i-2@1": "b"}
+        )
+        revoked = key_map.Holder(
+            "i-2@1", "b", "desk", key_map.HolderState.REVOKING, 5
+        )
+        self.state.offer_map(
+            key_map.KeyMap(5, {"i-2@1": revoked}, found.tables)
+        )
+        self.peers.handlers["b"] = lambda f: _not_run(
+            f, outcome.Reason.NOT_OWNER
+        )
+        self._run(key="7")
+        self.assertEqual(len(self._forwards()), 1)
+
     def test_weights_hold_over_a_few_requests(self):
         split = fleet_fakes.route(
             shares=(routes.Share("x", 90), routes.Share("y", 10))
