--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -14,6 +14,7 @@
 from primrosecross.adapters import http_connection
 from primrosecross.adapters import json_log
 from primrosecross.adapters import peer_streams
+from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import fleet_node
 from primrosecross.domain import membership
@@ -239,7 +240,7 @@
         """Reads the settings again; broken ones leave the present in force."""
         try:
             found = settings_module.load(self._path)
-        except settings_module.errors.SettingsError as error:
+        except errors.SettingsError as error:
             _logger.error("the settings were not reloaded: %s", error)
             return
         if found != self._settings:
@@ -279,7 +280,7 @@
     path = pathlib.Path(os.environ.get(settings_module.FILE_VARIABLE, ""))
     try:
         settings = settings_module.load(path)
-    except settings_module.errors.SettingsError as error:
+    except errors.SettingsError as error:
         print(error, flush=True)
         return 2
     handler = json_log.GatheringHandler(1)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -3,6 +3,7 @@
 import collections
 import unittest
 
+from primrosecross.domain import check_in
 from primrosecross.domain import dispatcher
 from primrosecross.domain import fleet_messages
 from primrosecross.domain import fleet_state
@@ -313,6 +314,14 @@
         refused = self.gate.run(fleet_fakes.plain_request(key="7"))
         self.assertEqual(refused.reason, outcome.Reason.LEAVING)
 
+    def test_a_target_found_leaving_by_a_new_daemon_gets_nothing(self):
+        """Daemons are stopped while targets leave (roll_term, scale_in)."""
+        self._grant()
+        self._check_in(state=check_in.TargetState.DRAINING)
+        self.clock.advance(target_watch.TAKE_IN_MS)
+        refused = self.gate.run(fleet_fakes.plain_request(key="7"))
+        self.assertEqual(refused.reason, outcome.Reason.LEAVING)
+
     def test_a_request_that_crashes_targets_is_refused_the_third_time(self):
         self._check_in()
         self.targets.alive = False
