--- a/primrosecross/domain/target_watch.py
+++ b/primrosecross/domain/target_watch.py
@@ -15,7 +15,7 @@
 MAX_GRANTS = 80  # what fits into an answer of 4 KiB
 MIN_HOLD_MS = 200
 MAX_TOKENS = 256
-LONG_AGO_NS = 1  # after the VM booted
+LONG_AGO_NS = 3_600_000_000_000  # longer than any leave-taking
 TAKE_IN_MS = 20  # from an answer until the target goes by it
 _NS_PER_MS = proof_module.NS_PER_MS
 _State = check_in_module.TargetState
@@ -167,7 +167,7 @@
         self.beside = Beside(check_in, self._clock.now_ns(), check_in.state)
         if check_in.state is _State.DRAINING:
             # An earlier process of this daemon may have acknowledged it.
-            self.beside.leaving_ns = LONG_AGO_NS
+            self.beside.leaving_ns = self.beside.heard_ns - LONG_AGO_NS
         self._refused_ns = 0
         self.on_new_life()
         self._changed()
