Drop what nobody uses of the HTTP client; keep callers' headers in the stand-ins

Cause: the read of the whole change as a newcomer: a timeout option and a count were never used, and the soak wrote the platform's header names itself. Change: both removed, the names stand in standins/sidecars. Behaviour stays. Ruled out: nothing else was touched. Measured: the tests of these parts.

--- a/primrosecross/adapters/http_client.py
+++ b/primrosecross/adapters/http_client.py
@@ -145,20 +145,14 @@
     Args:
         address: "ip:port" of the server.
         max_kept: Most idle connections kept.
-        user_timeout_ms: Time after which unacknowledged bytes end a
-            connection; 0 leaves it to the system.
     """
 
-    def __init__(
-        self, *, address: str, max_kept: int = 32, user_timeout_ms: int = 0
-    ) -> None:
+    def __init__(self, *, address: str, max_kept: int = 32) -> None:
         host, _, port = address.rpartition(":")
         self._address = (host, int(port))
         self._max_kept = max_kept
-        self._user_timeout_ms = user_timeout_ms
         self._kept: list[_Kept] = []
         self.opened = 0
-        self.in_use = 0
 
     def exchange(
         self,
@@ -184,16 +178,12 @@
                 of an answer came.
             errors.TargetLostError: The answer did not come whole.
         """
-        self.in_use += 1
-        try:
-            with gevent.Timeout(timeout_s, False):
-                return self._exchange(head, body, max_idle_s, _Parser(belongs))
-            raise errors.TargetLostError(
-                f"no answer within {timeout_s * 1000:.0f} ms",
-                remedy="check that the server is not overloaded",
-            )
-        finally:
-            self.in_use -= 1
+        with gevent.Timeout(timeout_s, False):
+            return self._exchange(head, body, max_idle_s, _Parser(belongs))
+        raise errors.TargetLostError(
+            f"no answer within {timeout_s * 1000:.0f} ms",
+            remedy="check that the server is not overloaded",
+        )
 
     def _exchange(
         self, head: bytes, body: bytes, max_idle_s: float, parser: _Parser
@@ -239,12 +229,6 @@
         self.opened += 1
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self._user_timeout_ms:
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                self._user_timeout_ms,
-            )
         return sock
 
     def _send(
--- a/soak/day.py
+++ b/soak/day.py
@@ -19,6 +19,7 @@
 CALLERS_A_VM = 3
 HEALED_S = 25.0  # a lease, a lost VM's silence and the platform's 15 s
 READY_S = 40.0
+DEADLINE_MS = 1500
 KEYS = range(0, 65536, 1024)
 NO_FAULTS = {"down": False, "delay_ms": 0, "lose_answers": 0, "forgotten": 0}
 SERVICES = ("desk", "desk", "desk", "files", "desk")
@@ -106,15 +107,11 @@
         if not keyed:
             path, repeatable = "/file/x", True
         body = request_id.encode() * self._random.choice((1, 1, 500))
-        fields = [
-            ("Host", "desk.example"),
-            ("Request-Id", request_id),
-            ("Deadline-Ms", "1500"),
-            ("Content-Length", str(len(body))),
-        ]
+        chosen = None
         if keyed:
             chosen = key if key >= 0 else self._random.choice(KEYS)
-            fields.append(("Shard-Key", str(chosen)))
+        headers = sidecars.request_headers(request_id, DEADLINE_MS, chosen)
+        fields = [*headers.items(), ("Content-Length", str(len(body)))]
         work_ms = self._random.choice((1, 5, 5, 60))
         head = http_client.request_head("POST", f"{path}?ms={work_ms}", fields)
         status, own = 0, False
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -167,13 +167,7 @@
         body: bytes | None = None,
     ) -> tuple[int, bytes]:
         """Sends a request as a caller on a VM; returns status and body."""
-        headers = {
-            "Host": "desk.example",
-            "Request-Id": request_id,
-            "Deadline-Ms": str(deadline_ms),
-        }
-        if key is not None:
-            headers["Shard-Key"] = str(key)
+        headers = request_headers(request_id, deadline_ms, key)
         asked = urllib.request.Request(
             f"http://127.0.0.1:{one.ports['outbound']}{path}",
             headers=headers,
@@ -211,6 +205,20 @@
                 process.wait()
 
 
+def request_headers(
+    request_id: str, deadline_ms: int, key: int | None
+) -> dict[str, str]:
+    """Returns the headers of a caller's request."""
+    headers = {
+        "Host": "desk.example",
+        "Request-Id": request_id,
+        "Deadline-Ms": str(deadline_ms),
+    }
+    if key is not None:
+        headers["Shard-Key"] = str(key)
+    return headers
+
+
 def config(version: int, prefix: str = "/book/") -> dict:
     """Returns a configuration with a keyed and an unkeyed service.
 
