Notice callers who leave while a daemon retires

Since a daemon retired it did not watch for hangups; that was to spare connections whose reading side it had shut, but since it shuts only quiet ones none that is read from can be one of them. Change: hangups are watched for always. Ruled out: a late cancellation between daemons; the entry had not sent one. Before: the new test fails; after: it and the test of the race pass.

--- a/primrosecross/adapters/http_connection.py
+++ b/primrosecross/adapters/http_connection.py
@@ -360,11 +360,7 @@
         job = gevent.spawn(self._handle, request)
         self.in_flight += 1
         try:
-            # The reading side of a retired connection looks like a hangup.
-            watched = contextlib.nullcontext()
-            if not self._retired:
-                watched = _killed_on_hangup(sock, job)
-            with watched:
+            with _killed_on_hangup(sock, job):
                 job.join()
         finally:
             self.in_flight -= 1
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -255,6 +255,16 @@
             self.server.retire()  # before the server's task runs
             self.assertIn(b" 200 ", sock.recv(1000))
 
+    def test_a_caller_who_leaves_while_it_retires_ends_the_work(self):
+        """Callers give up while daemons are stopped (give_up, roll_term)."""
+        with socket.create_connection(self.address) as sock:
+            gevent.sleep(0.05)
+            sock.sendall(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.server.retire()
+            gevent.sleep(0.1)
+        gevent.sleep(0.1)
+        self.assertEqual(self.left, 1)
+
 
 class CallerPortTest(unittest.TestCase):
     """The product's own port refuses the same."""
