--- a/tests/test_ownership_history.py
+++ b/tests/test_ownership_history.py
@@ -86,6 +86,17 @@
                 )
                 self.assertEqual(len(shown), found)
 
+    def test_nothing_in_force_is_excused_only_after_a_start(self):
+        applied = [history.Applied(150, 2, "ana")]
+        for process, at_ns, found in (("p2", 300, 0), ("p1", 300, 1)):
+            with self.subTest(process=process):
+                seen = [*self.seen, history.Seen(at_ns, "a", process, 0, 0)]
+                shown = history.check_applied(applied, seen, within_ns=100)
+                self.assertEqual(len(shown), found)
+        late = [*self._seen(0, "p2"), history.Seen(400, "a", "p2", 0, 0)]
+        shown = history.check_applied(applied, late, within_ns=100)
+        self.assertEqual(len(shown), 1)
+
     def test_version_acknowledged_twice_is_found(self):
         applied = [
             history.Applied(150, 2, "ana"),
