Split request parsing and the directory from the files that had grown large

The parser of requests is http_parser.py, with its limits and the request that it makes; what the coordinator has heard of each VM is directory.py. Three fields of RoutedService that nobody read are no longer decoded, and Follower.sync_with is public in place of a second method that only renamed it.

--- a/primrosecross/domain/follower.py
+++ b/primrosecross/domain/follower.py
@@ -100,7 +100,7 @@
 
     def _follow(self) -> None:
         if self.coordinator and self.coordinator != self._vm:
-            self._sync_with(self.coordinator)
+            self.sync_with(self.coordinator)
         if self.out_of_touch():
             self._find()
         if self._lease.age_ms() > STALE_PROOF_MS:
@@ -113,7 +113,8 @@
         silent_ns = self._clock.now_ns() - self._heard_ns
         return silent_ns > SILENT_MS * _NS_PER_MS
 
-    def _sync_with(self, vm: str) -> None:
+    def sync_with(self, vm: str) -> None:
+        """Reports to a daemon and takes over what it has that is newer."""
         asked_ns = self._clock.now_ns()
         try:
             ack = self._peers.call(
@@ -203,7 +204,7 @@
             if e.vm not in (self._vm, self.coordinator) and e.state != "lost"
         ]
         drawn = random.sample(others, min(ASKED_PEERS, len(others)))
-        gevent.joinall([gevent.spawn(self._sync_with, vm) for vm in drawn])
+        gevent.joinall([gevent.spawn(self.sync_with, vm) for vm in drawn])
 
     def _read_store(self) -> None:
         """Takes a proof from the store itself, not more often than FIND_MS."""
@@ -239,10 +240,6 @@
             map_version=self._state.key_map.version,
         )
 
-    def fetch_from(self, vm: str) -> None:
-        """Takes over what another daemon has that is newer."""
-        self._sync_with(vm)
-
     def answer_notice(self, notice: fleet_messages.Notice) -> messages.Message:
         """Takes in that there is news."""
         self.learn_coordinator(notice.coordinator, notice.address, notice.term)
--- a/primrosecross/domain/range_coordinator.py
+++ b/primrosecross/domain/range_coordinator.py
@@ -1,7 +1,6 @@
 """Holds the office: gathers reports, decides, writes the map, tells others."""
 
 import collections
-import dataclasses
 import logging
 import random
 import time
@@ -9,6 +8,7 @@
 import gevent
 from gevent import event as gevent_event
 
+from primrosecross.domain import directory as directory_module
 from primrosecross.domain import election as election_module
 from primrosecross.domain import errors
 from primrosecross.domain import fleet_messages
@@ -24,8 +24,6 @@
 from primrosecross.ports import fleet_store
 from primrosecross.ports import peers as peers_port
 
-LOST_AFTER_MS = 1500  # three reports and more
-SETTLE_MS = 3000  # a restarted daemon hears its target within that
 TAKE_OFFICE_MS = 1400  # until all daemons had time to report
 BEGIN_MS = 2500
 DECIDE_MS = 100
@@ -35,31 +33,12 @@
 PROVE_MS = 800
 NOTICE_TIMEOUT_MS = 300
 INVITE_MS = 500
-FORGET_MS = 30_000
 REST_MS = 3000  # between two moves of a key for balance
-LOST = "lost"  # state of an entry whose daemon is silent
 _NS_PER_MS = proof_module.NS_PER_MS
 
 _logger = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(slots=True)
-class _Heard:
-    """One VM's last report.
-
-    Attributes:
-        heard_ns: When it came.
-        since_ns: When this process of its daemon first reported.
-        number: Change of the directory that shows its present entry.
-    """
-
-    report: fleet_messages.Sync
-    heard_ns: int
-    since_ns: int
-    entry: fleet_messages.VmEntry
-    number: int
-
-
 class RangeCoordinator:
     """Decides who holds which keys while its daemon is in office.
 
@@ -91,10 +70,9 @@
         self._store = store
         self._peers = peers
         self._clock = clock
-        self._heard: dict[str, _Heard] = {}
+        self._directory = directory_module.Directory(state=state, clock=clock)
         self._loads: dict[str, key_load.KeyLoad] = {}
         self._revoking_ns: dict[tuple[str, int], int] = {}
-        self._number = 0
         self._term = 0
         self._office_ns = 0
         self._version = ""
@@ -109,7 +87,7 @@
         state.subscribe(self._wake.set)
 
     @property
-    def _directory(self) -> str:
+    def _directory_name(self) -> str:
         return f"{self._vm}/{self._term}"
 
     def answer_sync(self, sync: fleet_messages.Sync) -> messages.Message:
@@ -118,16 +96,14 @@
             return self._follower.answer_sync(sync)
         self._take_office()
         self._take_report(sync)
-        followed = sync.directory == self._directory
+        followed = sync.directory == self._directory_name
         known = sync.directory_number if followed else 0
         return self._follower.answer_sync(
             sync,
             office_age_ms=self._election.proved_ms_ago(),
-            directory=self._directory,
-            directory_number=self._number,
-            entries=tuple(
-                h.entry for h in self._heard.values() if h.number > known
-            ),
+            directory=self._directory_name,
+            directory_number=self._directory.number,
+            entries=self._directory.entries_since(known),
         )
 
     def _take_office(self) -> None:
@@ -137,10 +113,9 @@
             return
         self._term = term
         self._office_ns = self._clock.now_ns()
-        self._heard = {}
+        self._directory.clear()
         self._loads = {}
         self._revoking_ns = {}
-        self._number = 0
         self._version = ""
         self._written.clear()
         self._first_version = self._state.key_map.version
@@ -150,38 +125,14 @@
                 gevent.spawn(self._tell, entry.vm)
 
     def _take_report(self, sync: fleet_messages.Sync) -> None:
-        now_ns = self._clock.now_ns()
-        old = self._heard.get(sync.vm)
-        since_ns = now_ns
-        if old is not None and old.report.incarnation == sync.incarnation:
-            since_ns = old.since_ns
         self._peers.learn_address(sync.vm, sync.address)
-        self._heard[sync.vm] = _Heard(
-            sync,
-            now_ns,
-            since_ns,
-            old.entry if old is not None else _entry(sync, lost=False),
-            old.number if old is not None else 0,
-        )
-        if self._note_entry(sync.vm, lost=False) or _differs(old, sync):
+        if self._directory.take(sync):
             self._wake.set()
         self._take_counts(sync)
         document = self._state.document
         known = 0 if document is None else document.plan.revision
         if sync.plan_revision > known and sync.vm != self._vm:
-            gevent.spawn(self._follower.fetch_from, sync.vm)
-
-    def _note_entry(self, vm: str, *, lost: bool) -> bool:
-        """Puts a VM's state into the directory; tells whether it changed."""
-        heard = self._heard[vm]
-        entry = _entry(heard.report, lost=lost)
-        if heard.number and heard.entry == entry:
-            return False
-        self._number += 1
-        heard.entry = entry
-        heard.number = self._number
-        self._state.take_entries((entry,), anew=False)
-        return True
+            gevent.spawn(self._follower.sync_with, sync.vm)
 
     def _take_counts(self, sync: fleet_messages.Sync) -> None:
         if not sync.targets or not sync.key_counts:
@@ -214,7 +165,7 @@
             self._vm, self._follower.address, self._term
         )
         self._take_report(self._follower.own_report())
-        self._note_lost()
+        self._invite_lost()
         self._tell_of_plan()
         try:
             self._prove()
@@ -235,24 +186,14 @@
         if not self._version:
             self._write(key_map_module.KeyMap(version=1))
 
-    def _note_lost(self) -> None:
+    def _invite_lost(self) -> None:
+        """Has silent daemons report, if they run at their last addresses."""
+        lost = self._directory.note_lost(but=self._vm)
         now_ns = self._clock.now_ns()
-        lost_ns = LOST_AFTER_MS * _NS_PER_MS
-        lost = [
-            vm
-            for vm, heard in self._heard.items()
-            if now_ns - heard.heard_ns > lost_ns and vm != self._vm
-        ]
-        for vm in lost:
-            if self._note_entry(vm, lost=True):
-                _logger.warning("VM %s has been silent for long", vm)
         if now_ns - self._invited_ns > INVITE_MS * _NS_PER_MS:
             self._invited_ns = now_ns
             for vm in lost:
                 gevent.spawn(self._tell, vm)
-        for vm in lost:
-            if now_ns - self._heard[vm].heard_ns > FORGET_MS * _NS_PER_MS:
-                del self._heard[vm]
 
     def _in_office_ms(self) -> float:
         return (self._clock.now_ns() - self._office_ns) / _NS_PER_MS
@@ -262,7 +203,7 @@
         if plan is None or self._in_office_ms() < TAKE_OFFICE_MS:
             return
         situation = range_decisions.Situation(
-            seen={vm: self._seen(h) for vm, h in self._heard.items()},
+            seen=self._directory.seen(),
             keyed_services=tuple(
                 s.name for s in plan.services.values() if s.keyed
             ),
@@ -275,14 +216,6 @@
         if draft is not None:
             self._write(draft)
 
-    def _seen(self, heard: _Heard) -> range_decisions.Seen:
-        settled_ns = self._clock.now_ns() - heard.since_ns
-        return range_decisions.Seen(
-            report=heard.report,
-            lost=heard.entry.state == LOST,
-            settled=settled_ns > SETTLE_MS * _NS_PER_MS,
-        )
-
     def _expired(self) -> frozenset[str]:
         """Returns the lives whose revocation has stood for long enough.
 
@@ -330,7 +263,7 @@
             self._tell_all()
 
     def _tell_all(self) -> None:
-        for vm in self._heard:
+        for vm in self._directory.vms:
             if vm != self._vm:
                 gevent.spawn(self._tell, vm)
 
@@ -351,37 +284,6 @@
         return self._follower.answer_notice(notice)
 
 
-def _entry(sync: fleet_messages.Sync, *, lost: bool) -> fleet_messages.VmEntry:
-    target = sync.targets[0] if sync.targets else None
-    state = "" if target is None else target.state
-    if sync.stopping:
-        state = "draining"
-    return fleet_messages.VmEntry(
-        vm=sync.vm,
-        place=sync.place,
-        address=sync.address,
-        service="" if target is None else target.service,
-        slots=0 if target is None else target.slots,
-        state=LOST if lost else state,
-        cold=target is not None and target.cold,
-    )
-
-
-def _differs(old: _Heard | None, sync: fleet_messages.Sync) -> bool:
-    """Tells whether a report may call for a decision."""
-    if old is None:
-        return True
-    before = old.report.targets[0] if old.report.targets else None
-    after = sync.targets[0] if sync.targets else None
-    if before is None or after is None:
-        return before is not after
-    return (before.life, before.forfeited, before.given_back) != (
-        after.life,
-        after.forfeited,
-        after.given_back,
-    )
-
-
 def _log_changes(
     before: key_map_module.KeyMap, after: key_map_module.KeyMap
 ) -> None:
--- a/primrosecross/domain/routes.py
+++ b/primrosecross/domain/routes.py
@@ -64,17 +64,10 @@
     Attributes:
         name: Name of the service.
         keyed: Whether its targets hold keys exclusively.
-        health_path: Path of a target's health endpoint.
-        max_connections: Connections that a target takes from all callers.
-        warm_up_ms: How long keys stay slow that came without a hand-over
-            token.
     """
 
     name: str
     keyed: bool
-    health_path: str
-    max_connections: int
-    warm_up_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/platform/check_ins.py
+++ b/primrosecross/platform/check_ins.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from primrosecross.adapters import http_connection
+from primrosecross.adapters import http_parser
 from primrosecross.domain import check_in as check_in_module
 from primrosecross.domain import target_watch
 
@@ -55,7 +56,7 @@
         self._watch = watch
 
     def handle(
-        self, found: http_connection.HttpRequest
+        self, found: http_parser.HttpRequest
     ) -> http_connection.HttpReply:
         """Answers a heartbeat or a leave-taking."""
         path = found.target.partition("?")[0]
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -12,6 +12,7 @@
 from primrosecross.adapters import boot_clock
 from primrosecross.adapters import fleet_archive
 from primrosecross.adapters import http_connection
+from primrosecross.adapters import http_parser
 from primrosecross.adapters import json_log
 from primrosecross.adapters import peer_streams
 from primrosecross.domain import errors
@@ -145,7 +146,7 @@
         )
 
     def _answer_ready(
-        self, found: http_connection.HttpRequest
+        self, found: http_parser.HttpRequest
     ) -> http_connection.HttpReply:
         path = found.target.partition("?")[0]
         if path == READY_PATH:
--- a/primrosecross/platform/ingress.py
+++ b/primrosecross/platform/ingress.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from primrosecross.adapters import http_connection
+from primrosecross.adapters import http_parser
 from primrosecross.domain import dispatcher as dispatcher_module
 from primrosecross.domain import fleet_state
 from primrosecross.domain import key_map
@@ -60,15 +61,13 @@
         self._record = record
         self._patience = patience.Patience()
 
-    def limits(self) -> http_connection.ServerLimits:
+    def limits(self) -> http_parser.ServerLimits:
         """Returns the limits in force for callers."""
         plan = self._state.plan
         if plan is None:
-            return http_connection.ServerLimits(
-                max_held_bytes=self._max_held_bytes
-            )
+            return http_parser.ServerLimits(max_held_bytes=self._max_held_bytes)
         limits = plan.limits
-        return http_connection.ServerLimits(
+        return http_parser.ServerLimits(
             max_head_bytes=limits.max_head_bytes,
             max_body_bytes=limits.max_body_bytes,
             head_timeout_ms=limits.head_timeout_ms,
@@ -77,7 +76,7 @@
         )
 
     def handle(
-        self, found: http_connection.HttpRequest
+        self, found: http_parser.HttpRequest
     ) -> http_connection.HttpReply:
         """Answers one request."""
         started_ns = self._clock.now_ns()
@@ -90,7 +89,7 @@
 
     def _run(
         self,
-        found: http_connection.HttpRequest,
+        found: http_parser.HttpRequest,
         request_id: str,
         started_ns: int,
     ) -> tuple[str, outcome.Outcome]:
@@ -116,7 +115,7 @@
 
     def _request(
         self,
-        found: http_connection.HttpRequest,
+        found: http_parser.HttpRequest,
         request_id: str,
         route: routes.Route,
         service: str,
--- a/primrosecross/platform/plan.py
+++ b/primrosecross/platform/plan.py
@@ -56,10 +56,7 @@
     """A service; its targets hold keys if it is sharded."""
 
     name: str
-    health_path: str = ""
-    max_connections: float = 0.0
     sharded: bool = False
-    warm_s: float = 0.0
 
 
 class _Config(msgspec.Struct, rename="pascal"):
@@ -124,13 +121,7 @@
         version=int(found.version),
         routes=by_host,
         services={
-            c.name: routes.RoutedService(
-                name=c.name,
-                keyed=c.sharded,
-                health_path=c.health_path,
-                max_connections=int(c.max_connections),
-                warm_up_ms=int(c.warm_s * 1000),
-            )
+            c.name: routes.RoutedService(name=c.name, keyed=c.sharded)
             for c in found.clusters
         },
         limits=routes.CallerLimits(
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -14,6 +14,7 @@
 from gevent import event as gevent_event
 
 from primrosecross.adapters import http_connection
+from primrosecross.adapters import http_parser
 
 PREFIX = "/api/objects/"
 LISTED = 500
@@ -50,7 +51,7 @@
         self._changed = gevent_event.Event()
 
     def handle(
-        self, found: http_connection.HttpRequest
+        self, found: http_parser.HttpRequest
     ) -> http_connection.HttpReply:
         """Answers one call."""
         path, _, query = found.target.partition("?")
@@ -113,7 +114,7 @@
         ]
 
     def _write(
-        self, found: http_connection.HttpRequest, kind: str, name: str
+        self, found: http_parser.HttpRequest, kind: str, name: str
     ) -> http_connection.HttpReply:
         document = json.loads(found.body)
         wanted = document.get("Metadata", {})
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -20,6 +20,7 @@
 
 from primrosecross.adapters import http_client
 from primrosecross.adapters import http_connection
+from primrosecross.adapters import http_parser
 from primrosecross.domain import errors
 
 BEAT_S = 0.3
@@ -74,7 +75,7 @@
         self._keyed = True
 
     def handle(
-        self, found: http_connection.HttpRequest
+        self, found: http_parser.HttpRequest
     ) -> http_connection.HttpReply:
         """Answers one request."""
         request_id = found.get("request-id")
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -14,6 +14,7 @@
 from primrosecross.adapters import caller_connection
 from primrosecross.adapters import http_client
 from primrosecross.adapters import http_connection
+from primrosecross.adapters import http_parser
 from primrosecross.adapters import http_server
 from primrosecross.domain import errors
 
@@ -50,7 +51,7 @@
     """One server, raw bytes."""
 
     def setUp(self) -> None:
-        self.seen: list[http_connection.HttpRequest] = []
+        self.seen: list[http_parser.HttpRequest] = []
         self.server = http_connection.HttpServer(
             listen=("127.0.0.1", 0), handle=self._handle, limits=self._limits
         )
@@ -59,8 +60,8 @@
         self.address = ("127.0.0.1", self.server.port)
         self.left = 0
 
-    def _limits(self) -> http_connection.ServerLimits:
-        return http_connection.ServerLimits(
+    def _limits(self) -> http_parser.ServerLimits:
+        return http_parser.ServerLimits(
             max_head_bytes=2000,
             max_body_bytes=10_000,
             head_timeout_ms=200,
@@ -69,7 +70,7 @@
         )
 
     def _handle(
-        self, found: http_connection.HttpRequest
+        self, found: http_parser.HttpRequest
     ) -> http_connection.HttpReply:
         self.seen.append(found)
         if found.target == "/slowly":
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -24,7 +24,7 @@
         revision=1,
         version=1,
         routes={},
-        services={"desk": routes.RoutedService("desk", True, "", 0, 0)},
+        services={"desk": routes.RoutedService("desk", True)},
         limits=routes.CallerLimits(1, 1, 1, 1),
     )
     return fleet_store.PlanDocument(plan, b"{}")
