Move as many ranges at once as there are targets

Four moves at a time, of about a second each, take ten seconds to spread what a hot spot brings; and a fullest target that could give nothing ended the round for all others.

Ruled out: shorter averages of the load (the same after three seconds, more noise) and shorter rests (no difference).

Change: as many moves under way as four fifths of the targets; who can give nothing is passed over.

--- a/primrosecross/domain/range_balance.py
+++ b/primrosecross/domain/range_balance.py
@@ -11,7 +11,8 @@
 
 SLACK = 0.3  # of a mean target's fill, before keys are moved
 MIN_FILL = 0.7  # below that a target refuses nothing
-MAX_MOVES = 4  # at once, for each service
+MIN_MOVES = 4  # that may be under way at once, for each service
+MOVES_SHARE = 0.8  # of the targets, which may have a move under way each
 MAX_ROWS = 48  # for each target, so that its answers stay small
 WIDTH_WEIGHT = 0.15  # share of the load that is spread over all keys alike
 MIN_PIECE_SHARE = 0.1  # of a mean target's load
@@ -124,26 +125,40 @@
         if self._load is None or len(self.able) < 2:
             return table
         moving = sum(r.receiver != "" for r in table.ranges)
-        while moving < MAX_MOVES:
+        at_most = max(MIN_MOVES, round(MOVES_SHARE * len(self.able)))
+        stuck: set[str] = set()  # Targets that can give nothing now.
+        while moving < at_most:
             self.measure(table)
-            change = self._next_move(table, self._load)
-            if change is None:
+            givers = [a for a in self.able.values() if a.life not in stuck]
+            full = max(givers, key=lambda a: a.fill, default=None)
+            if full is None or not self._may_give(full):
                 break
+            change = self._next_move(table, full, self._load)
+            if change is None:
+                stuck.add(full.life)
+                continue
             table = table.replaced([change])
             moving += 1
         return table
 
+    def _emptiest(self) -> Able:
+        return min(self.able.values(), key=lambda a: a.fill)
+
+    def _may_give(self, full: Able) -> bool:
+        """Tells whether the fullest target should give keys away."""
+        empty = self._emptiest()
+        idle = empty.rows == 0 and full.rows > 0
+        return idle or _is_uneven(full, empty, self._mean_fill())
+
     def _next_move(
-        self, table: _Table, load: key_load.KeyLoad
+        self, table: _Table, full: Able, load: key_load.KeyLoad
     ) -> _KeyRange | None:
-        mean = self._mean_fill()
-        full = max(self.able.values(), key=lambda a: a.fill)
-        empty = min(self.able.values(), key=lambda a: a.fill)
+        """Returns a part of what a target holds, with its receiver."""
+        empty = self._emptiest()
         if max(empty.rows, full.rows) >= MAX_ROWS:
             return None
-        idle = empty.rows == 0 and full.rows > 0
-        if not idle and not _is_uneven(full, empty, mean):
-            return None
+        mean = self._mean_fill()
+        idle = empty.rows == 0
         room = empty.room(mean)
         excess = -full.room(mean)
         at_most = min(max(excess, room / 2 if idle else 0.0), room)
