Spare the store the reads of daemons that have a coordinator, or will soon

Each daemon without a coordinator read the term twice (the election and the follower), the plan four times a second until there was one, and the map, all at the same moment of a common start.

Change: the election's look tells the follower; the plan comes from the coordinator unless that is out of reach; proofs are read from the store only after a coordinator had time to send one; first looks are spread over 300 ms. A new coordinator decides as soon as all holders' VMs have reported, which after a loss of power is a second sooner than the fixed wait.

--- a/primrosecross/domain/election.py
+++ b/primrosecross/domain/election.py
@@ -32,12 +32,14 @@
         takeover_ms: A candidate that has seen no renewal for so long takes
             the office. Less than a term lets two coordinators overlap, which
             is harmless where each of their writes is conditional.
+        spread_ms: Time over which first looks are spread.
     """
 
     renew_ms: int = RENEW_MS
     term_ms: int = TERM_MS
     reserve_ms: int = RESERVE_MS
     takeover_ms: int = TERM_MS
+    spread_ms: int = 0
 
 
 class Election:
@@ -57,6 +59,7 @@
         timeline: Where elections are recorded.
         in_reserve: Tells whether the coordinator has long been out of reach.
         timing: How often the term is renewed, and when it ends.
+        seen: Called with the term after each look at the store.
     """
 
     def __init__(
@@ -70,8 +73,10 @@
         timeline: events.Timeline,
         in_reserve: Callable[[], bool] = lambda: False,
         timing: TermTiming | None = None,
+        seen: Callable[[archive_port.Term], None] = lambda term: None,
     ) -> None:
         self._in_reserve = in_reserve
+        self._seen = seen
         self._timing = timing or TermTiming()
         self._vm = vm
         self._peer_address = peer_address
@@ -102,7 +107,12 @@
         return self._term.number if self._term else 0
 
     def run(self) -> None:
-        """Campaigns until killed."""
+        """Campaigns until killed.
+
+        The first look comes at a random moment, so that of many daemons that
+        start at once most find a coordinator in place of racing for it.
+        """
+        self._clock.sleep(self._timing.spread_ms * random.uniform(0.0, 1.0))
         while True:
             candidate = self._candidate()
             if candidate or self._in_reserve():
@@ -172,6 +182,8 @@
         if version != self._version or term != self._term:
             self._changed_ns = asked_ns
         self._term, self._version = term, version
+        if term is not None:
+            self._seen(term)
 
     def _may_write(self, asked_ns: int) -> bool:
         if self._term is None or self._term.vm in (NOBODY, self._vm):
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -35,7 +35,11 @@
 from primrosecross.ports import target as target_port
 
 TERM = election_module.TermTiming(
-    renew_ms=500, term_ms=1500, reserve_ms=500, takeover_ms=1000
+    renew_ms=500,
+    term_ms=1500,
+    reserve_ms=500,
+    takeover_ms=1000,
+    spread_ms=300,
 )
 LOOK_MS = 200
 
@@ -139,6 +143,9 @@
             clock=ports.clock,
             timeline=self._timeline,
             timing=TERM,
+            seen=lambda term: self.follower.learn_coordinator(
+                term.vm, term.peer_address, term.number
+            ),
         )
         self.follower.in_office = lambda: self.election.in_office
         self.coordinator = range_coordinator.RangeCoordinator(
--- a/primrosecross/domain/follower.py
+++ b/primrosecross/domain/follower.py
@@ -28,7 +28,7 @@
 STALE_PROOF_MS = 2200  # a read of the coordinator and two syncs missed
 SILENT_MS = 1000  # then a coordinator counts as out of reach
 STALE_OFFICE_MS = 2500
-FIND_MS = 500
+READ_GAP_MS = 1000
 MIN_GAP_MS = 20
 ASKED_PEERS = 2
 _NS_PER_MS = proof_module.NS_PER_MS
@@ -75,7 +75,7 @@
         self.own_report = report
         self._wake = gevent_event.Event()
         self._heard_ns = 0
-        self._found_ns = 0
+        self._started_ns = clock.now_ns()
         self._proved_ns = 0
         self._changes: dict[tuple[int, int], bytes] = {}
         self.coordinator = ""
@@ -101,13 +101,17 @@
     def _follow(self) -> None:
         if self.coordinator and self.coordinator != self._vm:
             self.sync_with(self.coordinator)
-        if self.out_of_touch():
-            self._find()
-        if self._lease.age_ms() > STALE_PROOF_MS:
+        if self._lacks_proof():
             self._ask_others()
-        if self._lease.age_ms() > STALE_PROOF_MS:
+        if self._lacks_proof():
             self._read_store()
 
+    def _lacks_proof(self) -> bool:
+        """Tells whether the proof is old and a coordinator had time to help."""
+        now_ns = self._clock.now_ns()
+        begun_ns = self._started_ns + STALE_PROOF_MS * _NS_PER_MS
+        return self._lease.age_ms() > STALE_PROOF_MS and now_ns > begun_ns
+
     def out_of_touch(self) -> bool:
         """Tells whether no coordinator has answered for SILENT_MS."""
         silent_ns = self._clock.now_ns() - self._heard_ns
@@ -173,30 +177,13 @@
             return
         if vm != self.coordinator:
             _logger.info("coordinator is %s, term %d", vm, term)
+            self._wake.set()
         self.term = term
         self.coordinator = vm
         self.coordinator_address = address
         if vm != self._vm:
             self._peers.learn_address(vm, address)
 
-    def _find(self) -> None:
-        """Reads who is the coordinator, not more often than FIND_MS."""
-        now_ns = self._clock.now_ns()
-        if now_ns - self._found_ns < FIND_MS * _NS_PER_MS:
-            return
-        self._found_ns = now_ns
-        try:
-            term, _ = self._store.read_term()
-        except errors.StoreError as error:
-            _logger.info("the coordinator's term was not read: %s", error)
-            return
-        if term is None:
-            return
-        known = self.coordinator
-        self.learn_coordinator(term.vm, term.peer_address, term.number)
-        if self.coordinator != known:
-            self._wake.set()
-
     def _ask_others(self) -> None:
         others = [
             e.vm
@@ -207,9 +194,9 @@
         gevent.joinall([gevent.spawn(self.sync_with, vm) for vm in drawn])
 
     def _read_store(self) -> None:
-        """Takes a proof from the store itself, not more often than FIND_MS."""
+        """Takes a proof from the store itself, READ_GAP_MS apart."""
         now_ns = self._clock.now_ns()
-        if now_ns - self._proved_ns < FIND_MS * _NS_PER_MS:
+        if now_ns - self._proved_ns < READ_GAP_MS * _NS_PER_MS:
             return
         self._proved_ns = now_ns
         try:
--- a/primrosecross/domain/plan_watch.py
+++ b/primrosecross/domain/plan_watch.py
@@ -17,6 +17,7 @@
 WATCH_MS = 8000  # a watch that went silent is noticed after that
 LOOK_MS = 300
 RETRY_MS = 250
+FIRST_LOOK_MS = 800  # by then a coordinator has sent the plan, if there is one
 
 _logger = logging.getLogger(__name__)
 
@@ -56,6 +57,7 @@
 
     def run(self) -> None:
         """Watches until killed."""
+        self._clock.sleep(FIRST_LOOK_MS * random.uniform(0.5, 1.5))
         while True:
             if not self._is_watcher():
                 self._clock.sleep(LOOK_MS)
@@ -71,9 +73,7 @@
                 self._clock.sleep(RETRY_MS * random.uniform(0.5, 1.5))
 
     def _is_watcher(self) -> bool:
-        if self._state.plan is None or self._in_office():
-            return True
-        if self._out_of_touch():
+        if self._in_office() or self._out_of_touch():
             return True
         alive = sorted(
             e.vm for e in self._state.entries.values() if e.state != "lost"
@@ -92,7 +92,7 @@
     def _await_change(self) -> None:
         plan = self._state.plan
         if plan is None:
-            self._clock.sleep(RETRY_MS)
+            self._clock.sleep(RETRY_MS * random.uniform(1.0, 3.0))
             return
         while self._is_watcher():
             if self._plans.wait_for_plan(plan.revision, WATCH_MS):
--- a/primrosecross/domain/range_coordinator.py
+++ b/primrosecross/domain/range_coordinator.py
@@ -33,7 +33,7 @@
 PROVE_MS = 800
 NOTICE_TIMEOUT_MS = 300
 INVITE_MS = 500
-REST_MS = 3000  # between two moves of a key for balance
+REST_MS = 1500  # between two moves of a key; its load is known by then
 _NS_PER_MS = proof_module.NS_PER_MS
 
 _logger = logging.getLogger(__name__)
@@ -198,9 +198,17 @@
     def _in_office_ms(self) -> float:
         return (self._clock.now_ns() - self._office_ns) / _NS_PER_MS
 
+    def _has_heard_enough(self) -> bool:
+        """Tells whether all holders' VMs reported, or had time to."""
+        holders = self._state.key_map.holders.values()
+        awaited = {h.vm for h in holders} - set(self._directory.vms)
+        return self._in_office_ms() >= TAKE_OFFICE_MS or (
+            bool(holders) and not awaited
+        )
+
     def _decide(self) -> None:
         plan = self._state.plan
-        if plan is None or self._in_office_ms() < TAKE_OFFICE_MS:
+        if plan is None or not self._has_heard_enough():
             return
         situation = range_decisions.Situation(
             seen=self._directory.seen(),
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -119,6 +119,22 @@
         passed_ms = (self.clock.now_ns() - began_ns) / 1e6
         self.assertGreater(passed_ms, proof.revocation_wait_ms() - 1500)
 
+    def test_a_new_coordinator_decides_once_all_holders_have_reported(self):
+        """All VMs lose power and their targets start anew (power_off_all)."""
+        self._lead(4000, "b", "c")
+        self.clock.advance(2000)
+        self.coordinator = self._make("b")
+        for vm in "abc":
+            life = fleet_fakes.target(f"i-{vm}@2000")
+            self.reports[vm] = fleet_fakes.sync(vm, life)
+        while not self.election.in_office:
+            self.clock.advance(100)
+            self.election.campaign()
+        self._lead(300, "a")
+        self.assertNotIn("i-a@2000", self._holders())
+        self._lead(200, "a", "c")
+        self.assertEqual(self._holders(), {f"i-{vm}@2000" for vm in "abc"})
+
     def test_who_takes_office_tells_those_it_knows(self):
         self.state.take_entries(
             (
