Show what each daemon logged last when a test fleet is not ready

Cause: three known red tests ended with "not settled within 40 s" and kept nothing to go by. Ruled out as their cause: reconnection backoff of the test's channels, which share their connections (a daemon that was away for 25 s under 226 polls was reached 0.01 s after its start, two runs); and ports taken by outgoing connections, as these fleets use ports below that range.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -90,6 +90,11 @@
         """Returns the log of a process."""
         return self._directory / f"{name}.log"
 
+    def last_lines(self, vm: str, count: int = 12) -> str:
+        """Returns the end of a daemon's log, for a failure's message."""
+        lines = self.log(f"{vm}-daemon").read_text().splitlines()
+        return "\n".join(lines[-count:])
+
     def start(self) -> None:
         """Starts the platform, then all VMs."""
         self.start_platform()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -29,6 +29,7 @@
 REGION = "jihomoravsky"
 PARTITIONS = 64
 KEYS = tuple(f"booking-{number}" for number in range(24))
+TRACE_TIMEOUT_S = 2.0
 READY_S = 40.0
 CALL_TIMEOUT_S = 8.0
 CALLERS = 4
@@ -160,10 +161,12 @@
         request = operator_pb2.GetPlanRequest()
         return self._stub(self.alive()[0]).GetPlan(request).version
 
-    def status(self, vm: str) -> operator_pb2.GetStatusReply:
+    def status(
+        self, vm: str, timeout_s: float = READY_S
+    ) -> operator_pb2.GetStatusReply:
         """Returns a daemon's status."""
         request = operator_pb2.GetStatusRequest()
-        return self._stub(vm).GetStatus(request, timeout=READY_S)
+        return self._stub(vm).GetStatus(request, timeout=timeout_s)
 
     def coordinator(self) -> str:
         """Returns the coordinator's VM."""
@@ -186,7 +189,18 @@
                 if result := test():
                     return result
             gevent.sleep(0.1)
-        raise AssertionError(f"not within {timeout_s} s: {test}")
+        raise AssertionError(f"not within {timeout_s} s: {test}{self._trace()}")
+
+    def _trace(self) -> str:
+        """Returns what each daemon shows and what it logged last."""
+        shown = []
+        for vm in self.alive():
+            try:
+                status = self.status(vm, timeout_s=TRACE_TIMEOUT_S)
+            except grpc.RpcError as error:
+                status = error.code()
+            shown.append(f"\n{vm}: {status}\n{self.fleet.last_lines(vm)}")
+        return "".join(shown)
 
     def wait_until_settled(self) -> None:
         """Waits until all members hold leases and all keys have owners."""
--- a/tests/test_transport_stop.py
+++ b/tests/test_transport_stop.py
@@ -58,10 +58,16 @@
         until = time.monotonic() + READY_S
         for vm in self.vms:
             for number in range(8):
-                while self.book(vm, f"booking-{number}", 0) != "200":
-                    self.assertLess(time.monotonic(), until)
+                while (seen := self.book(vm, f"booking-{number}", 0)) != "200":
+                    late = time.monotonic() > until
+                    self.assertFalse(late, late and self._trace(vm, seen))
                     gevent.sleep(0.1)
 
+    def _trace(self, asked: str, seen: str) -> str:
+        """Returns what was answered and what each daemon logged last."""
+        logs = [f"\n{vm}:\n{self.cluster.last_lines(vm)}" for vm in self.vms]
+        return f"{asked} answered {seen}" + "".join(logs)
+
     def book(self, vm: str, key: str, work_ms: int) -> str:
         client = geventhttpclient.HTTPClient(
             "127.0.0.1",
