--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -1,5 +1,6 @@
 """The HTTP server refuses what two parsers could read differently."""
 
+import contextlib
 import itertools
 import re
 import unittest
@@ -47,6 +48,25 @@
 _SECOND = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
+def _exchange(
+    address: tuple[str, int],
+    data: bytes,
+    *,
+    end: bool = False,
+    ignored: tuple[type[OSError], ...] = (),
+) -> bytes:
+    """Sends bytes and returns all that comes until the connection ends."""
+    with socket.create_connection(address, timeout=2) as sock:
+        sock.sendall(data)
+        if end:
+            sock.shutdown(socket.SHUT_WR)
+        answer = b""
+        with contextlib.suppress(*ignored):
+            while piece := sock.recv(65536):
+                answer += piece
+        return answer
+
+
 class ServerTest(unittest.TestCase):
     """One server, raw bytes."""
 
@@ -84,14 +104,7 @@
         return http_connection.HttpReply(200, [], b"ok")
 
     def _exchange(self, data: bytes, *, end: bool = False) -> bytes:
-        with socket.create_connection(self.address, timeout=2) as sock:
-            sock.sendall(data)
-            if end:
-                sock.shutdown(socket.SHUT_WR)
-            answer = b""
-            while piece := sock.recv(65536):
-                answer += piece
-            return answer
+        return _exchange(self.address, data, end=end)
 
 
 class FramingTest(ServerTest):
@@ -294,15 +307,7 @@
 
     def _exchange(self, data: bytes) -> bytes:
         address = ("127.0.0.1", self.server.server_port)
-        with socket.create_connection(address, timeout=2) as sock:
-            sock.sendall(data)
-            answer = b""
-            try:
-                while piece := sock.recv(65536):
-                    answer += piece
-            except ConnectionResetError:
-                pass
-            return answer
+        return _exchange(address, data, ignored=(ConnectionResetError,))
 
     def test_each_ambiguous_request_ends_with_400_and_reaches_nobody(self):
         for name, data in _REFUSED.items():
