Wait at a stop until answers have been sent, to callers and to other daemons

Cause: found by reading. A stop counted a request as done once its answer was ready; one still being written to a slow caller, or to another daemon, could be cut by the end of the process, which comes sooner now.

Change: a request is in flight until its answer is sent; calls of other daemons count; two looks in a row must find nothing. The new test failed before (0 in flight with 16 MB unsent).

--- a/primrosecross/adapters/http_connection.py
+++ b/primrosecross/adapters/http_connection.py
@@ -127,16 +127,30 @@
                 return
             if request is None:
                 return
-            reply = self._answer(sock, request)
-            if reply is None:
-                return
-            if not parser.complete:
-                parser.release()
-            close = reply.close or self.closing or not request.keep_alive
-            self._send(sock, reply, close=close, method=request.method)
-            if close:
+            self.in_flight += 1
+            try:
+                goes_on = self._serve_one(sock, parser, request)
+            finally:
+                self.in_flight -= 1
+            if not goes_on:
                 return
 
+    def _serve_one(
+        self,
+        sock: gevent_socket.socket,
+        parser: http_parser.RequestParser,
+        request: http_parser.HttpRequest,
+    ) -> bool:
+        """Answers a request; tells whether the connection goes on."""
+        reply = self._answer(sock, request)
+        if reply is None:
+            return False
+        if not parser.complete:
+            parser.release()
+        close = reply.close or self.closing or not request.keep_alive
+        self._send(sock, reply, close=close, method=request.method)
+        return not close
+
     def _read(
         self, sock: gevent_socket.socket, parser: http_parser.RequestParser
     ) -> http_parser.HttpRequest | None:
@@ -174,12 +188,10 @@
     ) -> HttpReply | None:
         """Returns the reply, None if the caller left before it was ready."""
         job = gevent.spawn(self._handle, request)
-        self.in_flight += 1
         try:
             with _killed_on_hangup(sock, job):
                 job.join()
         finally:
-            self.in_flight -= 1
             job.kill(block=False)
         if isinstance(job.value, HttpReply):
             return job.value
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -38,6 +38,7 @@
 RELOAD_LOOK_S = 2.0
 FIGURES_S = 10.0
 STOP_LOOK_S = 0.1
+IDLE_LOOKS = 2  # answers to other daemons may still be on their way out
 UNREADY_MS = 2200  # two questions a second apart take a VM out
 STOP_MARGIN_MS = 800
 # Failures are never left out before successes are.
@@ -262,14 +263,22 @@
         self._node.gate.stopping = True
         self._callers.retire()
         passed_ms = UNREADY_MS
-        idle = False
-        while not idle and passed_ms < limit_ms:
+        idle_looks = 0
+        while idle_looks < IDLE_LOOKS and passed_ms < limit_ms:
             gevent.sleep(STOP_LOOK_S)
             passed_ms = (self._clock.now_ns() - started_ns) // 10**6
-            idle = not self._callers.in_flight and not self._node.gate.in_flight
-        _logger.info("stopped after %d ms, idle: %s", passed_ms, idle)
+            idle_looks = idle_looks + 1 if self._is_idle() else 0
+        _logger.info("stopped after %d ms, idle: %s", passed_ms, idle_looks > 0)
         self._peers.stop()
 
+    def _is_idle(self) -> bool:
+        """Tells whether nobody waits for an answer from here."""
+        return not (
+            self._callers.in_flight
+            or self._node.gate.in_flight
+            or self._peers.requests_in_flight()
+        )
+
 
 def _pair(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -45,6 +45,7 @@
     "NUL in a header": b"GET / HTTP/1.1\r\nHost: h\r\nA: \x00\r\n\r\n",
     "space in the target": b"GET /a b HTTP/1.1\r\nHost: h\r\n\r\n",
 }
+LARGE_BYTES = 16 << 20  # more than the buffers of a connection hold
 _SECOND = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -93,6 +94,8 @@
         self, found: http_parser.HttpRequest
     ) -> http_connection.HttpReply:
         self.seen.append(found)
+        if found.target == "/large":
+            return http_connection.HttpReply(200, [], bytes(LARGE_BYTES))
         if found.target == "/slowly":
             gevent.sleep(0.2)
         if found.target == "/slow":
@@ -261,6 +264,18 @@
         with self.assertRaises(OSError):
             socket.create_connection(self.address, timeout=1)
 
+    def test_an_answer_counts_as_in_flight_until_it_is_sent(self):
+        """A stop waits for it, however slowly its caller reads."""
+        with socket.create_connection(self.address, timeout=2) as sock:
+            sock.sendall(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+            gevent.sleep(0.1)
+            self.assertEqual(self.server.in_flight, 1)
+            left = LARGE_BYTES
+            while left > 0:
+                left -= len(sock.recv(1 << 20))
+            gevent.sleep(0.05)
+            self.assertEqual(self.server.in_flight, 0)
+
     def test_a_request_that_came_just_before_is_answered(self):
         """Its bytes lie unread when the server retires."""
         with socket.create_connection(self.address, timeout=2) as sock:
