Read a first proof from the store sooner when no coordinator sends one

Cause: found by reading. Since daemons leave the store alone at their start, one restarted together with the coordinator waited 2.2 s before it read the proof itself; with its own start that may outlast the hold of its target, which then loses its keys. 0.8 s leaves a coordinator time to answer and the hold time to be renewed. Test: test_follower.

--- a/primrosecross/domain/follower.py
+++ b/primrosecross/domain/follower.py
@@ -26,6 +26,7 @@
 SYNC_MS = 400
 SYNC_TIMEOUT_MS = 1000  # a busy coordinator's late answer is worth more
 STALE_PROOF_MS = 2200  # a read of the coordinator and two syncs missed
+FIRST_PROOF_MS = 800  # a restarted daemon must grant before a hold runs out
 SILENT_MS = 1000  # then a coordinator counts as out of reach
 STALE_OFFICE_MS = 1400  # several renewals missed, so the store is out of reach
 READ_GAP_MS = 1000
@@ -110,7 +111,7 @@
     def _lacks_proof(self) -> bool:
         """Tells whether the proof is old and a coordinator had time to help."""
         now_ns = self._clock.now_ns()
-        begun_ns = self._started_ns + STALE_PROOF_MS * _NS_PER_MS
+        begun_ns = self._started_ns + FIRST_PROOF_MS * _NS_PER_MS
         return self._lease.age_ms() > STALE_PROOF_MS and now_ns > begun_ns
 
     def out_of_touch(self) -> bool:
