Thaw all VMs when a test has ended

Cause of the known red "not settled within 40 s": a run of FaultsTest that failed in its first test, which freezes two VMs, showed both still stopped four tests later (state T, rezervace-3 and -7); heal() counted them as running without having them go on, so every later test waited for them in vain. What failed first in that run is not known: it was ended by its time limit.

Change: heal() sends SIGCONT to all.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -316,8 +316,13 @@
         self.fleet.cut(*((vm, other) for other in others if other != vm))
 
     def heal(self) -> None:
-        """Heals all links and takes all running VMs back in."""
+        """Heals all links, thaws all VMs and takes running ones back in.
+
+        A VM that a failed test left frozen would fail all tests after it.
+        """
         self.fleet.cut()
+        for vm in self.fleet.vms:
+            self.fleet.send_signal(vm, signal.SIGCONT)
         self._out = {
             vm
             for vm in self._out
