--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -20,7 +20,6 @@
 from primrosecross.domain import key_gate
 from primrosecross.domain import membership
 from primrosecross.domain import messages
-from primrosecross.domain import operator_messages
 from primrosecross.domain import outcome
 from primrosecross.domain import plan_watch
 from primrosecross.domain import proof as proof_module
@@ -191,16 +190,7 @@
         answer.register(fleet_messages.Sync, self.coordinator.answer_sync)
         answer.register(fleet_messages.Notice, self.coordinator.answer_notice)
         answer.register(request_messages.Forward, self._answer_forward)
-        answer.register(
-            request_messages.NoteCrashes, self.quarantine.answer_notes
-        )
-        answer.register(
-            operator_messages.ListQuarantined, self.quarantine.answer_list
-        )
-        answer.register(
-            operator_messages.ReleaseQuarantined,
-            self.quarantine.answer_release,
-        )
+        self.quarantine.register(answer)
         return answer
 
     def handle(self, message: messages.Message) -> messages.Message:
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -253,15 +253,7 @@
         answer.register(request_messages.AskAnswer, self.attempts.answer_ask)
         answer.register(operator_messages.Probe, self._report)
         answer.register(operator_messages.ReadTimeline, self.collector.part)
-        answer.register(
-            request_messages.NoteCrashes, self.quarantine.answer_notes
-        )
-        answer.register(
-            operator_messages.ListQuarantined, self.quarantine.answer_list
-        )
-        answer.register(
-            operator_messages.ReleaseQuarantined, self.quarantine.answer_release
-        )
+        self.quarantine.register(answer)
         return answer
 
     def handle(self, message: messages.Message) -> messages.Message:
--- a/primrosecross/domain/quarantine.py
+++ b/primrosecross/domain/quarantine.py
@@ -237,6 +237,18 @@
         self.answer_release(question)
         self._tell_all(question)
 
+    def register(self, answer: Callable) -> None:
+        """Adds the answers to messages about requests that crash targets.
+
+        Args:
+            answer: A handler made by functools.singledispatch.
+        """
+        answer.register(request_messages.NoteCrashes, self.answer_notes)
+        answer.register(operator_messages.ListQuarantined, self.answer_list)
+        answer.register(
+            operator_messages.ReleaseQuarantined, self.answer_release
+        )
+
     def answer_release(
         self, question: operator_messages.ReleaseQuarantined
     ) -> stream_messages.Done:
--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -62,11 +62,13 @@
         self.assertLess(took_ms, SERVED_AGAIN_MS)
 
     def _freeze_and_thaw(self, *frozen: str) -> None:
+        coordinator = self.cluster.coordinator()
         since_ns = cluster_module.now_ns()
         for vm in frozen:
             self.cluster.freeze(vm)
         for vm in frozen:
-            self._assert_served_again(vm, since_ns)
+            with self.subTest(vm=vm, frozen=frozen, coordinator=coordinator):
+                self._assert_served_again(vm, since_ns)
         gevent.sleep(FREEZE_S - (cluster_module.now_ns() - since_ns) / 1e9)
         for vm in frozen:
             self.cluster.thaw(vm)
