--- a/primrosecross/domain/follower.py
+++ b/primrosecross/domain/follower.py
@@ -150,13 +150,24 @@
             self._heard_ns = self._clock.now_ns()
             self._take_directory(ack)
         elif vm == self.coordinator and ack.term == self.term:
-            self._heard_ns = 0  # It says itself that its office is lost.
-            self.on_vacant(ack.term)
+            self._give_up_coordinator(ack)
         elif ack.term > self.term:
             self.learn_coordinator(
                 ack.coordinator, ack.coordinator_address, ack.term
             )
 
+    def _give_up_coordinator(self, ack: fleet_messages.SyncAck) -> None:
+        """Takes in that the coordinator says itself that its office is lost."""
+        if self._heard_ns:
+            _logger.warning(
+                "coordinator %s could not renew term %d for %d ms",
+                ack.coordinator,
+                ack.term,
+                ack.office_age_ms,
+            )
+        self._heard_ns = 0
+        self.on_vacant(ack.term)
+
     def _take_documents(self, ack: fleet_messages.SyncAck) -> None:
         if ack.map_change:
             change = self._store.decode_change(ack.map_change)
