--- a/primrosecross/adapters/peer_codec.py
+++ b/primrosecross/adapters/peer_codec.py
@@ -122,7 +122,7 @@
 def _default(value: object) -> object:
     """Returns a data class as a map; the packer asks again for what it holds.
 
-    dataclasses.asdict copies all that is below, at ten times the cost.
+    dataclasses.asdict copies all that is below, at five times the cost.
     """
     return {name: getattr(value, name) for name in _field_names(type(value))}
 
