Bridge store outages by promises of the coordinator

Change: a coordinator that cannot renew its term promises, while most VMs that hold keys report to it, that no revocation is completed for 3.5 s; daemons lengthen their proofs by it, up to 12 s after the last renewal. Who follows in office completes no revocation before such promises have run out, which takes no longer than a revocation once half of those VMs report to it.

What is left there: daemons restarted in the outage have no proof of their own.

--- a/primrosecross/adapters/fleet_archive.py
+++ b/primrosecross/adapters/fleet_archive.py
@@ -47,6 +47,7 @@
     peer_address: str
     number: int
     beat: int
+    settled: bool = True
 
 
 class FleetArchive:
@@ -77,14 +78,22 @@
             return None, ""
         model = _convert(found, _TermModel)
         term = archive.Term(
-            model.vm, model.peer_address, model.number, model.beat
+            model.vm,
+            model.peer_address,
+            model.number,
+            model.beat,
+            model.settled,
         )
         return term, found.version
 
     def write_term(self, value: archive.Term, version: str) -> str:
         """Writes the coordinator's term; returns the store's new version."""
         model = _TermModel(
-            value.vm, value.peer_address, value.number, value.beat
+            value.vm,
+            value.peer_address,
+            value.number,
+            value.beat,
+            value.settled,
         )
         return self._write(TERMS, msgspec.to_builtins(model), version)
 
--- a/primrosecross/domain/election.py
+++ b/primrosecross/domain/election.py
@@ -9,6 +9,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import lease as lease_module
+from primrosecross.domain import promise
 from primrosecross.ports import archive as archive_port
 from primrosecross.ports import clock as clock_port
 
@@ -63,6 +64,7 @@
         in_reserve: Tells whether the coordinator has long been out of reach.
         timing: How often the term is renewed, and when it ends.
         seen: Called with the term after each look at the store.
+        settled: Tells whether promises of earlier terms have run out.
     """
 
     def __init__(
@@ -77,9 +79,11 @@
         in_reserve: Callable[[], bool] = lambda: False,
         timing: TermTiming | None = None,
         seen: Callable[[archive_port.Term], None] = lambda term: None,
+        settled: Callable[[], bool] = lambda: True,
     ) -> None:
         self._in_reserve = in_reserve
         self._seen = seen
+        self._settled = settled
         self._timing = timing or TermTiming()
         self._vm = vm
         self._peer_address = peer_address
@@ -93,6 +97,8 @@
         self._changed_ns = clock.now_ns()
         self._office_until_ns = 0
         self._vacant_number = 0
+        self._own_number = 0
+        self._followed: promise.Followed | None = None
 
     @property
     def in_office(self) -> bool:
@@ -101,8 +107,7 @@
 
     def proved_ms_ago(self) -> int:
         """Returns the time since the office was last proved by the store."""
-        term_ns = self._timing.term_ms * lease_module.NS_PER_MS
-        proved_ns = self._office_until_ns - term_ns
+        proved_ns = self.renewed_ns or 0
         return (self._clock.now_ns() - proved_ns) // lease_module.NS_PER_MS
 
     @property
@@ -110,6 +115,23 @@
         """Number of the term last seen."""
         return self._term.number if self._term else 0
 
+    @property
+    def renewed_ns(self) -> int | None:
+        """When the last renewal began of a term that may still be held.
+
+        None if this process never held the office, gave it up, or lost it.
+        """
+        if not self._office_until_ns:
+            return None
+        return self._office_until_ns - (
+            self._timing.term_ms * lease_module.NS_PER_MS
+        )
+
+    @property
+    def followed(self) -> promise.Followed | None:
+        """The last term of another process that this one followed."""
+        return self._followed
+
     def run(self) -> None:
         """Campaigns until killed.
 
@@ -153,8 +175,16 @@
             peer_address=self._peer_address,
             number=self.term_number + (0 if renewing else 1),
             beat=self._term.beat + 1 if self._term else 1,
+            settled=self._is_settled(),
         )
         self._version = self._archive.write_term(term, self._version)
+        if self._term is not None and self._term.number != self._own_number:
+            self._followed = promise.Followed(
+                settled=self._term.settled,
+                resigned=self._term.vm == NOBODY,
+                at_ns=self._clock.now_ns(),
+            )
+        self._own_number = term.number
         self._term = term
         self._changed_ns = asked_ns
         self._office_until_ns = (
@@ -163,6 +193,14 @@
         if not renewing:
             self._timeline.record(events.CoordinatorElected(term.number))
 
+    def _is_settled(self) -> bool:
+        """Tells whether promises of terms before this one have run out."""
+        if self._term is None:
+            return True
+        if self._term.number == self._own_number:
+            return self._settled()
+        return self._term.vm == NOBODY and self._term.settled
+
     def note_vacant(self, number: int) -> None:
         """Takes in that the holder of a term says it cannot renew it."""
         self._vacant_number = number
@@ -181,6 +219,7 @@
             peer_address="",
             number=self._term.number,
             beat=self._term.beat + 1,
+            settled=self._is_settled(),
         )
         self._version = self._archive.write_term(left, self._version)
         self._term = left
@@ -190,6 +229,8 @@
         if version != self._version or term != self._term:
             self._changed_ns = asked_ns
         self._term, self._version = term, version
+        if self.term_number != self._own_number:
+            self._office_until_ns = 0
         if term is not None:
             self._seen(term)
 
--- a/primrosecross/domain/fleet_messages.py
+++ b/primrosecross/domain/fleet_messages.py
@@ -64,6 +64,9 @@
     Attributes:
         incarnation: Identity of the sender's process.
         stopping: Whether the sender is about to end.
+        term: Number of the newest term that the sender knows.
+        echo_ns: What sent_ns was in the last answer of that term's holder, 0
+            if there was none.
         map_version: Newest map that the sender knows.
         plan_revision: Newest plan that it knows.
         directory: Identity of the directory that it follows.
@@ -77,6 +80,8 @@
     address: str
     incarnation: str
     stopping: bool
+    term: int
+    echo_ns: int
     map_version: int
     plan_revision: int
     directory: str
@@ -99,6 +104,8 @@
         map_change: What makes it of the asker's, empty if that is as new.
         proof_version: Version of the map that the sender's proof showed.
         proof_age_ms: Age of the proof, -1 if there is none.
+        sent_ns: Time of the answer by the sender's own clock.
+        promised_ms: For how long no revocation is completed, 0 if unknown.
         plan_revision: Newest plan that the sender knows.
         plan: That plan encoded, empty if the asker has it.
         directory: Identity of the sender's directory.
@@ -114,6 +121,8 @@
     map_change: bytes
     proof_version: int
     proof_age_ms: int
+    sent_ns: int
+    promised_ms: int
     plan_revision: int
     plan: bytes
     directory: str
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -154,6 +154,7 @@
             seen=lambda term: self.follower.learn_coordinator(
                 term.vm, term.peer_address, term.number
             ),
+            settled=lambda: self.coordinator.settled,
         )
         self.follower.on_vacant = self.election.note_vacant
         self.follower.in_office = lambda: self.election.in_office
@@ -239,6 +240,8 @@
             address=self._identity.peer_address,
             incarnation=self._identity.incarnation,
             stopping=self.stopping,
+            term=self.follower.term,
+            echo_ns=self.follower.echo_ns,
             map_version=self.state.key_map.version,
             plan_revision=0 if plan is None else plan.revision,
             directory=self.follower.directory,
--- a/primrosecross/domain/follower.py
+++ b/primrosecross/domain/follower.py
@@ -82,6 +82,7 @@
         self.coordinator = ""
         self.coordinator_address = ""
         self.term = 0
+        self.echo_ns = 0
         self.directory = ""
         self.directory_number = 0
         self.in_office: Callable[[], bool] = lambda: False
@@ -146,6 +147,10 @@
                 proof_module.Proof(ack.proof_version, read_ns),
                 map_version=self._state.key_map.version,
             )
+        if vm == self.coordinator and ack.term == self.term:
+            self.echo_ns = ack.sent_ns
+        if self._state.key_map.version >= ack.map_version:
+            self._lease.lengthen(asked_ns + ack.promised_ms * _NS_PER_MS)
         if 0 <= ack.office_age_ms < STALE_OFFICE_MS and vm == self.coordinator:
             self._heard_ns = self._clock.now_ns()
             self._take_directory(ack)
@@ -194,6 +199,8 @@
         if vm != self.coordinator:
             _logger.info("coordinator is %s, term %d", vm, term)
             self._wake.set()
+        if term != self.term:
+            self.echo_ns = 0
         self.term = term
         self.coordinator = vm
         self.coordinator_address = address
@@ -243,6 +250,11 @@
             map_version=self._state.key_map.version,
         )
 
+    def lengthen_proof(self, promised_ms: int) -> None:
+        """Takes in for how long this daemon itself promises that."""
+        until_ns = self._clock.now_ns() + promised_ms * _NS_PER_MS
+        self._lease.lengthen(until_ns)
+
     def answer_notice(self, notice: fleet_messages.Notice) -> messages.Message:
         """Takes in that there is news."""
         self.learn_coordinator(notice.coordinator, notice.address, notice.term)
@@ -269,11 +281,15 @@
         sync: fleet_messages.Sync,
         *,
         office_age_ms: int = -1,
+        promised_ms: int = 0,
         directory: str = "",
         directory_number: int = 0,
         entries: tuple[fleet_messages.VmEntry, ...] = (),
     ) -> fleet_messages.SyncAck:
-        """Returns what the asker lacks; a coordinator adds its directory."""
+        """Returns what the asker lacks.
+
+        A coordinator adds its directory and what it promises itself.
+        """
         key_map = self._state.key_map
         document = self._state.document
         newest = self._lease.newest
@@ -289,6 +305,8 @@
             proof_age_ms=-1
             if newest is None
             else int(self._lease.age_ms()) + 1,
+            sent_ns=self._clock.now_ns(),
+            promised_ms=max(promised_ms, self._lease.promised_ms()),
             plan_revision=revision,
             plan=document.content
             if document is not None and revision > sync.plan_revision
--- a/primrosecross/domain/proof.py
+++ b/primrosecross/domain/proof.py
@@ -10,6 +10,11 @@
 
 A daemon that adopts a newer map keeps its proofs; they remain true of the
 versions they name, and it no longer grants what the newer map withdrew.
+
+A store outage that outlasts a proof is bridged by the coordinator: it promises
+that no revocation is completed for a while, and daemons lengthen their proofs
+by that (see promise). A promise needs a proof of the daemon's own, since keys
+that an earlier process of its VM released are not revoked.
 """
 
 import dataclasses
@@ -55,6 +60,7 @@
         self._lease_ms = lease_ms
         self._started_ns = clock.now_ns()
         self._newest: Proof | None = None
+        self._promised_ns = 0
 
     def offer(self, proof: Proof, *, map_version: int) -> bool:
         """Takes a proof in if it is newer and the map at hand is as new.
@@ -68,6 +74,17 @@
             self._newest = proof
         return True
 
+    def lengthen(self, until_ns: int) -> None:
+        """Takes in that no revocation is completed before a moment.
+
+        The map at hand must be as new as that of whoever promised it.
+        """
+        self._promised_ns = max(self._promised_ns, until_ns)
+
+    def promised_ms(self) -> int:
+        """Returns for how long no revocation is known to be completed."""
+        return max(0, (self._promised_ns - self._clock.now_ns()) // NS_PER_MS)
+
     @property
     def newest(self) -> Proof | None:
         """The proof at hand."""
@@ -86,5 +103,5 @@
         """
         if self._newest is None:
             return 0
-        left_ms = self._lease_ms - self.age_ms()
+        left_ms = max(self._lease_ms - self.age_ms(), self.promised_ms())
         return max(0, int(left_ms * (1 - DRIFT_SHARE)))
--- a/primrosecross/domain/range_coordinator.py
+++ b/primrosecross/domain/range_coordinator.py
@@ -1,6 +1,7 @@
 """Holds the office: gathers reports, decides, writes the map, tells others."""
 
 import collections
+import dataclasses
 import logging
 import random
 import time
@@ -17,6 +18,7 @@
 from primrosecross.domain import key_load
 from primrosecross.domain import key_map as key_map_module
 from primrosecross.domain import messages
+from primrosecross.domain import promise
 from primrosecross.domain import proof as proof_module
 from primrosecross.domain import range_decisions
 from primrosecross.domain import stream_messages
@@ -73,9 +75,11 @@
         self._peers = peers
         self._clock = clock
         self._directory = directory_module.Directory(state=state, clock=clock)
+        self._promises = promise.Promises(vm=vm, clock=clock)
         self._loads: dict[str, key_load.KeyLoad] = {}
         self._revoking_ns: dict[tuple[str, int], int] = {}
         self._term = 0
+        self._bridging = False
         self._office_ns = 0
         self._version = ""
         self._proved_ns = 0
@@ -95,7 +99,10 @@
     def answer_sync(self, sync: fleet_messages.Sync) -> messages.Message:
         """Takes in a report and returns what its sender lacks."""
         if not self._election.in_office:
-            return self._follower.answer_sync(sync)
+            self._note_report(sync)
+            return self._follower.answer_sync(
+                sync, promised_ms=self._promise_ms()
+            )
         self._take_office()
         self._take_report(sync)
         followed = sync.directory == self._directory_name
@@ -108,6 +115,27 @@
             entries=self._directory.entries_since(known),
         )
 
+    def _promise_ms(self) -> int:
+        """Returns for how long no revocation is completed, 0 if not known."""
+        term = self._election.term_number
+        if self._term != term or self._follower.term > term:
+            return 0
+        return self._promises.promise_ms(
+            self._state.key_map, renewed_ns=self._election.renewed_ns
+        )
+
+    @property
+    def settled(self) -> bool:
+        """Tells whether promises of earlier coordinators have run out."""
+        current = self._term == self._election.term_number
+        return current and self._promises.settled()
+
+    def _note_report(self, sync: fleet_messages.Sync) -> None:
+        if self._term == self._election.term_number:
+            self._promises.note_report(
+                sync, renewed_ns=self._election.renewed_ns
+            )
+
     def _take_office(self) -> None:
         """Begins anew when the term is another than before."""
         term = self._election.term_number
@@ -115,6 +143,7 @@
             return
         self._term = term
         self._office_ns = self._clock.now_ns()
+        self._promises.begin(term, self._election.followed)
         self._directory.clear()
         self._loads = {}
         self._revoking_ns = {}
@@ -128,6 +157,7 @@
 
     def _take_report(self, sync: fleet_messages.Sync) -> None:
         self._peers.learn_address(sync.vm, sync.address)
+        self._note_report(sync)
         if self._directory.take(sync):
             self._wake.set()
         self._take_counts(sync)
@@ -151,12 +181,25 @@
             self._clock.sleep(self._gap_ms)
             self._wake.clear()
             if not self._election.in_office:
+                self._bridge()
                 continue
             self._take_office()
             began_s = time.thread_time()
             self._lead()
             self._pace(time.thread_time() - began_s)
 
+    def _bridge(self) -> None:
+        """Goes on without the store, if this was the last coordinator."""
+        promise_ms = self._promise_ms()
+        self._follower.lengthen_proof(promise_ms)
+        if promise_ms and not self._bridging:
+            _logger.warning(
+                "term %d cannot be renewed; no keys are revoked for %d ms",
+                self._term,
+                promise_ms,
+            )
+        self._bridging = promise_ms > 0
+
     def _pace(self, took_s: float) -> None:
         """Has decisions take at most a share of the processor."""
         wanted_ms = took_s * 1000 / DECIDE_SHARE
@@ -223,14 +266,18 @@
             may_begin=self._in_office_ms() > BEGIN_MS,
             settled_version=self._settled_version(),
         )
-        draft = range_decisions.decide(self._state.key_map, situation)
+        known = self._state.key_map
+        draft = range_decisions.decide(known, situation)
+        if draft is None and not self._promises.sealed:
+            draft = dataclasses.replace(known, version=known.version + 1)
         if draft is not None:
             self._write(draft)
 
     def _expired(self) -> frozenset[str]:
         """Returns the lives whose revocation has stood for long enough.
 
-        The wait begins when this process first saw the intent in the store.
+        The wait begins when this process first saw the intent in the store,
+        and lasts until no promise of an earlier coordinator can.
         """
         now_ns = self._clock.now_ns()
         wait_ns = proof_module.revocation_wait_ms() * _NS_PER_MS
@@ -245,7 +292,7 @@
         return frozenset(
             life
             for (life, _), since_ns in self._revoking_ns.items()
-            if now_ns - since_ns > wait_ns
+            if now_ns - since_ns > wait_ns and self._promises.settled()
         )
 
     def _settled_version(self) -> int:
@@ -260,7 +307,9 @@
     def _write(self, draft: key_map_module.KeyMap) -> None:
         asked_ns = self._clock.now_ns()
         known = self._state.key_map
+        self._promises.note_write(draft)
         self._version = self._store.write_map(draft, self._version)
+        self._promises.note_written(known)
         _log_changes(known, draft)
         self._state.offer_map(draft)
         self._written.append((draft.version, asked_ns))
--- a/primrosecross/ports/archive.py
+++ b/primrosecross/ports/archive.py
@@ -17,12 +17,14 @@
         peer_address: "ip:port" of its daemon.
         number: Grows with each change of coordinator.
         beat: Grows with each renewal.
+        settled: Whether promises of all earlier terms have run out.
     """
 
     vm: str
     peer_address: str
     number: int
     beat: int
+    settled: bool = True
 
 
 class TermArchive(Protocol):
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -188,6 +188,8 @@
         address=f"{vm}:1",
         incarnation="p1",
         stopping=False,
+        term=0,
+        echo_ns=0,
         map_version=0,
         plan_revision=0,
         directory="",
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from primrosecross.domain import fleet_messages
 from primrosecross.domain import fleet_state
 from primrosecross.domain import follower
 from primrosecross.domain import key_map
@@ -18,6 +19,7 @@
         self.store = fleet_fakes.MemoryStore()
         archive = fleet_fakes.archive(self.store)
         archive.write_map(key_map.KeyMap(version=1), "")
+        self.peers = fleet_fakes.Peers()
         self.lease = proof.ProofLease(clock=self.clock)
         self.follower = follower.Follower(
             vm="a",
@@ -26,7 +28,7 @@
             lease=self.lease,
             store=archive,
             plans=fleet_fakes.NoPlans(),
-            peers=fleet_fakes.Peers(),
+            peers=self.peers,
             clock=self.clock,
             report=lambda: fleet_fakes.sync("a"),
         )
@@ -47,3 +49,48 @@
         self._follow(1200)
         self.assertLess(self.lease.age_ms(), 500)
         self.assertEqual(self.store.calls, 1)
+
+    def _hear_promise(self, map_version: int) -> None:
+        ack = fleet_messages.SyncAck(
+            coordinator="b",
+            coordinator_address="b:1",
+            term=1,
+            office_age_ms=-1,
+            map_version=map_version,
+            map_change=b"",
+            proof_version=0,
+            proof_age_ms=-1,
+            sent_ns=1,
+            promised_ms=5000,
+            plan_revision=0,
+            plan=b"",
+            directory="",
+            directory_number=0,
+            entries=(),
+        )
+        self.peers.handlers["b"] = lambda message: ack
+        self.follower.sync_with("b")
+
+    def test_a_promise_lengthens_a_proof_of_its_own(self):
+        """The store is away for 8 s (platform_down)."""
+        self.follower.prove()
+        self.clock.advance(proof.LEASE_MS)
+        self.assertEqual(self.lease.left_ms(), 0)
+        self._hear_promise(1)
+        self.assertGreater(self.lease.left_ms(), 4800)
+        answer = self.follower.answer_sync(fleet_fakes.sync("c"))
+        self.assertEqual(answer.promised_ms, 5000)
+        self.clock.advance(5000)
+        self.assertEqual(self.lease.left_ms(), 0)
+
+    def test_a_promise_without_a_proof_grants_nothing(self):
+        """A daemon restarted in an outage forgot what it released."""
+        self._hear_promise(0)
+        self.assertEqual(self.lease.left_ms(), 0)
+
+    def test_a_promise_needs_the_map_that_it_was_given_with(self):
+        """Its map may not show an intent that the coordinator wrote."""
+        self.follower.prove()
+        self.clock.advance(proof.LEASE_MS)
+        self._hear_promise(2)
+        self.assertEqual(self.lease.left_ms(), 0)
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -10,6 +10,7 @@
 from primrosecross.domain import fleet_state
 from primrosecross.domain import follower
 from primrosecross.domain import key_map
+from primrosecross.domain import promise
 from primrosecross.domain import proof
 from primrosecross.domain import range_coordinator
 from primrosecross.domain import routes
@@ -68,7 +69,7 @@
             plans=fleet_fakes.NoPlans(),
             peers=self.peers,
             clock=clock,
-            report=lambda: self.reports[vm],
+            report=lambda: self._report(vm),
         )
         return range_coordinator.RangeCoordinator(
             vm=vm,
@@ -80,13 +81,21 @@
             clock=clock,
         )
 
+    def _report(self, vm: str) -> fleet_messages.Sync:
+        """Returns the report of a VM that has just heard from the leader."""
+        return dataclasses.replace(
+            self.reports[vm],
+            term=self.election.term_number,
+            echo_ns=self.clock.now_ns(),
+        )
+
     def _lead(self, for_ms: int, *alive: str) -> None:
         """Has the coordinator decide while VMs report to it."""
         for _ in range(for_ms // 100):
             self.clock.advance(100)
             self.election.campaign()
             for vm in alive:
-                self.coordinator.answer_sync(self.reports[vm])
+                self.coordinator.answer_sync(self._report(vm))
             self.coordinator._take_office()
             self.coordinator._lead()
 
@@ -206,3 +215,77 @@
         self._make("b")
         self.election.campaign()
         self.assertTrue(self.election.in_office)
+
+    def _promised_ms(self, vm: str) -> int:
+        return self.coordinator.answer_sync(self._report(vm)).promised_ms
+
+    def _lose_store(self, for_ms: int) -> None:
+        """Has the term lapse while VMs go on reporting."""
+        for _ in range(for_ms // 500):
+            self.clock.advance(500)
+            self._promised_ms("b")
+            self._promised_ms("c")
+
+    def test_it_promises_to_revoke_nothing_while_the_store_is_away(self):
+        """The store is down for everyone for 8 s (platform_down, busy)."""
+        self._lead(4000, "b", "c")
+        self.assertEqual(self._promised_ms("b"), 0)
+        self._lose_store(2000)
+        self.assertEqual(self._promised_ms("b"), promise.PROMISE_MS)
+        self._lose_store(6000)
+        self.assertEqual(self._promised_ms("b"), promise.PROMISE_MS)
+        self._lose_store(promise.OUTAGE_MS)
+        self.assertEqual(self._promised_ms("b"), 0)
+
+    def test_it_promises_nothing_before_it_has_written_the_map(self):
+        """A late write of its predecessor could complete a revocation."""
+        self._lead(4000, "b", "c")
+        self.coordinator = self._make("b")
+        for _ in range(20):
+            self.clock.advance(100)
+            self.election.campaign()
+        self.follower.prove()
+        for vm in "ac":
+            self.coordinator.answer_sync(self._report(vm))
+        self._lose_store(2000)
+        self.assertEqual(self._promised_ms("c"), 0)
+
+    def test_a_term_without_changes_writes_the_map_once(self):
+        self._lead(4000, "b", "c")
+        self.coordinator = self._make("b")
+        self._lead(4000, "a", "c")
+        version = self.state.key_map.version
+        self._lead(2000, "a", "c")
+        self.assertEqual(self.state.key_map.version, version)
+        self._lose_store(2000)
+        self.assertEqual(self._promised_ms("c"), promise.PROMISE_MS)
+
+    def test_it_promises_nothing_once_it_knows_of_another(self):
+        self._lead(4000, "b", "c")
+        self._lose_store(2000)
+        self.follower.learn_coordinator("b", "b:1", 2)
+        self.assertEqual(self._promised_ms("c"), 0)
+
+    def test_a_lost_coordinator_delays_no_revocation(self):
+        """It is lost with another VM; most VMs follow the next one."""
+        self._lead(4000, "b", "c")
+        self.coordinator = self._make("b")
+        self._lead(2000, "c")
+        began_ns = self.clock.now_ns()
+        while "i-a@1000" in self._holders():
+            self._lead(100, "c")
+            passed_ms = (self.clock.now_ns() - began_ns) / 1e6
+            intent_ms = range_coordinator.TAKE_OFFICE_MS  # at the latest
+            self.assertLess(passed_ms, intent_ms + proof.revocation_wait_ms())
+
+    def test_without_most_vms_a_follower_outwaits_promises(self):
+        """Most VMs are cut off with the coordinator (node_cut)."""
+        self._lead(4000, "b", "c")
+        self.coordinator = self._make("b")
+        began_ns = self.clock.now_ns()
+        self._lead(promise.OUTAGE_MS)
+        self.assertIn("i-a@1000", self._holders())
+        while "i-a@1000" in self._holders():
+            self._lead(100)
+            passed_ms = (self.clock.now_ns() - began_ns) / 1e6
+            self.assertLess(passed_ms, promise.takeover_wait_ms() + 4000)
