Drop a request whose caller left before it was read

A request and the end of its connection that are read together, after the daemon had no processor for a while, were forwarded first and cancelled then. The test brings about just that and failed before.

Change: the connection is looked at for its end before the request's task starts.

--- a/primrosecross/adapters/http_connection.py
+++ b/primrosecross/adapters/http_connection.py
@@ -187,6 +187,9 @@
         self, sock: gevent_socket.socket, request: http_parser.HttpRequest
     ) -> HttpReply | None:
         """Returns the reply, None if the caller left before it was ready."""
+        if sockets.has_ended(sock):
+            _logger.info("dropped a request whose caller has left")
+            return None
         job = gevent.spawn(self._handle, request)
         try:
             with _killed_on_hangup(sock, job):
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -166,6 +166,14 @@
         gevent.sleep(0.1)
         self.assertEqual(self.left, 1)
 
+    def test_a_caller_who_left_before_it_was_read_is_not_served(self):
+        """Its request and its end wait while the daemon has no processor."""
+        with socket.create_connection(self.address) as sock:
+            gevent.sleep(0.05)
+            sock.sendall(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+        gevent.sleep(0.1)  # the server's task runs only now
+        self.assertEqual(self.seen, [])
+
     def test_a_late_answer_to_an_earlier_request_is_passed_over(self):
         earlier = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nold"
         own = b"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nnew"
