Spare a store that is away: the last coordinator asks for all

Change: while a coordinator's promise stands, its daemons read neither map nor plan themselves; a candidate that meets a failing store doubles its pause twice, all but the last holder of the office, who therefore comes back first.

--- a/primrosecross/domain/election.py
+++ b/primrosecross/domain/election.py
@@ -17,6 +17,7 @@
 TERM_MS = 1500
 CANDIDATES = 5
 RESERVE_MS = 4000
+MAX_DOUBLINGS = 2  # of a candidate's pauses while the store fails
 NOBODY = ""  # stands in the term of a coordinator that gave it up
 
 _logger = logging.getLogger(__name__)
@@ -94,6 +95,7 @@
         self._term: archive_port.Term | None = None
         self._version = ""
         self._problem = ""
+        self._failed_looks = 0
         self._changed_ns = clock.now_ns()
         self._office_until_ns = 0
         self._vacant_number = 0
@@ -143,16 +145,31 @@
             candidate = self._candidate()
             if candidate or self._in_reserve():
                 self._try_campaign()
-            pause_ms = self._timing.renew_ms
-            if not candidate and not self.in_office:
-                pause_ms = self._timing.reserve_ms
-            self._clock.sleep(pause_ms * random.uniform(0.8, 1.0))
+            self._clock.sleep(
+                self._pause_ms(candidate) * random.uniform(0.8, 1.0)
+            )
+
+    def _pause_ms(self, candidate: bool) -> int:
+        """Returns the time until the next look at the store.
+
+        In an outage, which all candidates meet, only the last holder goes on
+        as before; the others double their pauses.
+        """
+        if self.renewed_ns is not None:
+            return self._timing.renew_ms
+        if not candidate:
+            return self._timing.reserve_ms
+        doublings = min(self._failed_looks, MAX_DOUBLINGS)
+        return self._timing.renew_ms << doublings
 
     def _try_campaign(self) -> None:
         try:
             self.campaign()
             self._problem = ""
+            self._failed_looks = 0
         except errors.StoreError as error:
+            if not isinstance(error, errors.StoreConflictError):
+                self._failed_looks += 1
             if self._problem != str(error):
                 _logger.warning("coordinator's term: %s", error)
             self._problem = str(error)
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -173,7 +173,7 @@
             plans=ports.plans,
             clock=ports.clock,
             in_office=lambda: self.election.in_office,
-            out_of_touch=self.follower.out_of_touch,
+            out_of_touch=self._is_alone,
             changed=self._wake,
         )
 
@@ -182,6 +182,10 @@
             return True
         return not self.stopping and self.follower.out_of_touch()
 
+    def _is_alone(self) -> bool:
+        """Tells whether no coordinator answers, not even without the store."""
+        return self.follower.out_of_touch() and not self.follower.bridged()
+
     def _wake(self) -> None:
         self.follower.wake()
 
--- a/primrosecross/domain/follower.py
+++ b/primrosecross/domain/follower.py
@@ -32,6 +32,7 @@
 READ_GAP_MS = 1000
 MIN_GAP_MS = 20
 ASKED_PEERS = 2
+LEAST_BRIDGE_MS = 1500  # two reports of a promise's time may fail
 _NS_PER_MS = proof_module.NS_PER_MS
 
 _logger = logging.getLogger(__name__)
@@ -111,10 +112,16 @@
 
     def _lacks_proof(self) -> bool:
         """Tells whether the proof is old and a coordinator had time to help."""
+        if self.bridged():
+            return False
         now_ns = self._clock.now_ns()
         begun_ns = self._started_ns + FIRST_PROOF_MS * _NS_PER_MS
         return self._lease.age_ms() > STALE_PROOF_MS and now_ns > begun_ns
 
+    def bridged(self) -> bool:
+        """Tells whether the last coordinator goes on without the store."""
+        return self._lease.promised_ms() > LEAST_BRIDGE_MS
+
     def out_of_touch(self) -> bool:
         """Tells whether no coordinator has answered for SILENT_MS."""
         silent_ns = self._clock.now_ns() - self._heard_ns
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -83,6 +83,18 @@
         self.clock.advance(5000)
         self.assertEqual(self.lease.left_ms(), 0)
 
+    def test_no_store_is_read_while_a_promise_stands(self):
+        """A store that is away is spared by all but a few (platform_down)."""
+        self.follower.prove()
+        self.clock.advance(proof.LEASE_MS)
+        self._hear_promise(1)
+        self.peers.handlers.clear()
+        self.store.calls = 0
+        self._follow(5000 - follower.LEAST_BRIDGE_MS)
+        self.assertEqual(self.store.calls, 0)
+        self._follow(200)
+        self.assertEqual(self.store.calls, 1)
+
     def test_a_promise_without_a_proof_grants_nothing(self):
         """A daemon restarted in an outage forgot what it released."""
         self._hear_promise(0)
--- a/tests/test_office_handicap.py
+++ b/tests/test_office_handicap.py
@@ -5,8 +5,10 @@
 """
 
 import unittest
+from unittest import mock
 
 from primrosecross.domain import election
+from primrosecross.domain import errors
 from primrosecross.domain import events
 from primrosecross.domain import fleet_node
 from primrosecross.domain import stamp
@@ -77,6 +79,25 @@
         self._campaign(self.strong)
         self.assertTrue(self.strong.in_office)
 
+    def test_others_look_less_often_while_the_store_fails(self):
+        """The store is down for all for 8 s (platform_down)."""
+        self._campaign(self.strong)
+        self.assertTrue(self.strong.in_office)
+        self._campaign(self.weak)
+        self.assertEqual(self.weak._pause_ms(True), STEP_MS)
+        down = errors.StoreUnavailableError("down", remedy="wait")
+        with (
+            mock.patch.object(self.archive, "read_term", side_effect=down),
+            mock.patch.object(self.archive, "write_term", side_effect=down),
+        ):
+            for _ in range(4):
+                self.weak._try_campaign()
+                self.strong._try_campaign()
+        self.assertEqual(self.weak._pause_ms(True), 4 * STEP_MS)
+        self.assertEqual(self.strong._pause_ms(True), STEP_MS)
+        self.weak._try_campaign()
+        self.assertEqual(self.weak._pause_ms(True), STEP_MS)
+
     def test_the_weak_take_it_where_there_are_no_others(self):
         self._lose()
         for _ in range(30):
