--- a/primrosecross/domain/dispatcher.py
+++ b/primrosecross/domain/dispatcher.py
@@ -306,8 +306,7 @@
             places = len(attempts.tried | {vm})
             return step if places < MAX_PLACES and vm else _Next.RETURN
         if step is _Next.FOLLOW_KEY and req.key:
-            ready_ns = self._clock.now_ns() + _due_ms(result) * NS_PER_MS
-            in_time = ready_ns < attempts.follow_until_ns
+            in_time = self._clock.now_ns() < attempts.follow_until_ns
             may_come = in_time and self._may_come(req, vm, result)
             return step if may_come else _Next.RETURN
         return _Next.RETURN
@@ -359,14 +358,6 @@
     return _AFTER_LOSS.get(result.reason, _Next.RETURN)
 
 
-def _due_ms(result: outcome.Outcome) -> int:
-    """Returns the time until a gate expects to hold a key, 0 if not known."""
-    refused = isinstance(result, outcome.NotRun)
-    if refused and result.reason is outcome.Reason.NOT_OWNER:
-        return result.retry_after_ms
-    return 0
-
-
 def _is_unreachable(result: outcome.Outcome) -> bool:
     return (
         isinstance(result, outcome.NotRun)
--- a/primrosecross/domain/key_gate.py
+++ b/primrosecross/domain/key_gate.py
@@ -157,12 +157,11 @@
                 and found.receiver == key_map_module.NO_ONE
             )
             left_s = (until_ns - self._clock.now_ns()) / 1e9
-            due_ms = self._watch.next_beat_ms() + target_watch.TAKE_IN_MS
-            if not coming or due_ms > left_s * 1000:
+            if not coming or left_s <= 0:
                 return outcome.NotRun(
                     outcome.Reason.NOT_OWNER,
                     "the target beside this daemon does not hold the key",
-                    max(NOT_HERE_RETRY_MS, due_ms if coming else 0),
+                    NOT_HERE_RETRY_MS,
                 )
             with gevent.Timeout(left_s, False):
                 self._granted.wait()
--- a/primrosecross/domain/target_watch.py
+++ b/primrosecross/domain/target_watch.py
@@ -1,9 +1,7 @@
 """What a daemon knows of the target beside it, and what it grants to it."""
 
-import collections
 import dataclasses
 import logging
-import statistics
 from collections.abc import Callable
 
 from primrosecross.domain import check_in as check_in_module
@@ -18,7 +16,6 @@
 MIN_HOLD_MS = 200
 MAX_TOKENS = 256
 LONG_AGO_NS = 3_600_000_000_000  # longer than any leave-taking
-KEPT_GAPS = 5
 TAKE_IN_MS = 20  # from an answer until the target goes by it
 _NS_PER_MS = proof_module.NS_PER_MS
 _State = check_in_module.TargetState
@@ -43,7 +40,6 @@
         forfeited: Version of the map up to whose grants it gets none again;
             others were told that it holds nothing of them.
         given_back: Ranges on their way to others that it has released.
-        gaps_ns: Times between its last heartbeats.
     """
 
     last: check_in_module.CheckIn
@@ -59,9 +55,6 @@
     )
     forfeited: int = 0
     given_back: tuple[key_map_module.KeyRange, ...] = ()
-    gaps_ns: collections.deque[int] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=KEPT_GAPS)
-    )
 
 
 class TargetWatch:
@@ -113,11 +106,8 @@
         if beside is None or beside.last.life != check_in.life:
             beside = self._begin(check_in)
         before = (beside.state, beside.last.slots)
-        now_ns = self._clock.now_ns()
-        if check_in.sequence == beside.last.sequence + 1:
-            beside.gaps_ns.append(now_ns - beside.heard_ns)
         beside.last = check_in
-        beside.heard_ns = now_ns
+        beside.heard_ns = self._clock.now_ns()
         if beside.state is not _State.DRAINING:
             beside.state = check_in.state
         if beside.state is _State.DRAINING and not beside.leaving_ns:
@@ -257,18 +247,6 @@
             beside.state = _State.SILENT
             self._changed()
 
-    def next_beat_ms(self) -> int:
-        """Returns the time until the next heartbeat, 0 if it is not known.
-
-        Keys are granted in answers to heartbeats only. The median passes over
-        those that a target sends at once after it has released keys.
-        """
-        beside = self.beside
-        if beside is None or not beside.gaps_ns:
-            return 0
-        due_ns = beside.heard_ns + int(statistics.median(beside.gaps_ns))
-        return max(0, (due_ns - self._clock.now_ns()) // _NS_PER_MS)
-
     def holds(self, key: int) -> bool:
         """Tells whether the target was granted a key and may still hold it."""
         beside = self.beside
