--- a/tests/test_ownership_faults.py
+++ b/tests/test_ownership_faults.py
@@ -126,7 +126,8 @@
         gevent.sleep(duration_s)
         answers = [a for a in self.cluster.answers if a.started_ns >= since_ns]
         refused = [a for a in answers if a.call.outcome != "answered"]
-        self.assertGreater(len(answers), 50)
+        slow = self.cluster.slow_answers(since_ns)
+        self.assertGreater(len(answers), 50, slow)
         self.assertEqual(refused, [])
 
     def test_healthy_owners_serve_without_the_store(self):
