--- a/bench/balance.py
+++ b/bench/balance.py
@@ -14,11 +14,11 @@
 import xxhash
 
 from bench import result
-from primrosecross.domain import assignment
-from primrosecross.domain import balance
-from primrosecross.domain import decisions
-from primrosecross.domain import member_messages
-from primrosecross.domain import plan
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import balance
+from primrosecross.domain.ownership import decisions
 
 SERVICE = "rezervace"
 SEED = 4
--- a/bench/blocking.py
+++ b/bench/blocking.py
@@ -13,16 +13,16 @@
 
 from bench import result
 from primrosecross.adapters import boot_clock
-from primrosecross.adapters import peer_body
-from primrosecross.adapters import peer_connection
-from primrosecross.adapters import peer_greeting
-from primrosecross.adapters import peer_streams
-from primrosecross.domain import body
+from primrosecross.adapters.peers import peer_body
+from primrosecross.adapters.peers import peer_connection
+from primrosecross.adapters.peers import peer_greeting
+from primrosecross.adapters.peers import peer_streams
 from primrosecross.domain import errors
 from primrosecross.domain import messages
-from primrosecross.domain import request_messages
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import request_messages
 
 BASE_PORT = 28900
 BODY_BYTES = 64 << 20
--- a/bench/crest.py
+++ b/bench/crest.py
@@ -12,7 +12,7 @@
 
 from bench import load
 from bench import result
-from primrosecross.domain import plan
+from primrosecross.domain.operators import plan
 
 SEED = 11
 TARGETS = 4
--- a/bench/load.py
+++ b/bench/load.py
@@ -15,11 +15,11 @@
 from gevent import pool
 
 from primrosecross.adapters import boot_clock
-from primrosecross.domain import admission
-from primrosecross.domain import admission_queue
-from primrosecross.domain import lease
-from primrosecross.domain import outcome
-from primrosecross.domain import plan
+from primrosecross.domain.membership import lease
+from primrosecross.domain.operators import plan
+from primrosecross.domain.requests import admission
+from primrosecross.domain.requests import admission_queue
+from primrosecross.domain.requests import outcome
 
 ANSWERED = outcome.Answered(200, (), b"")
 
--- a/bench/loss.py
+++ b/bench/loss.py
@@ -12,8 +12,8 @@
 import gevent
 
 from bench import result
-from primrosecross.domain import election
-from primrosecross.domain import lease
+from primrosecross.domain.membership import lease
+from primrosecross.domain.ownership import election
 from tests import cluster as cluster_module
 
 VM_COUNT = 8
--- a/bench/map.py
+++ b/bench/map.py
@@ -9,9 +9,9 @@
 from bench import balance as balance_bench
 from bench import result
 from primrosecross.adapters import object_repository
-from primrosecross.domain import assignment
-from primrosecross.domain import delta
-from primrosecross.domain import witness_sets
+from primrosecross.domain.membership import witness_sets
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import delta
 from primrosecross.models import assignment as assignment_model
 
 MEMBER_COUNTS = (77, 155, 310, 620)
--- a/bench/metering.py
+++ b/bench/metering.py
@@ -6,16 +6,16 @@
 
 from bench import result
 from primrosecross.adapters import boot_clock
-from primrosecross.adapters import metrics_http
-from primrosecross.domain import events
-from primrosecross.domain import latencies
-from primrosecross.domain import lease
-from primrosecross.domain import meter
-from primrosecross.domain import outcome
-from primrosecross.domain import plan
-from primrosecross.domain import request
+from primrosecross.adapters.http import metrics_http
 from primrosecross.domain import stamp
-from primrosecross.domain import state
+from primrosecross.domain.membership import lease
+from primrosecross.domain.membership import state
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import latencies
+from primrosecross.domain.operators import meter
+from primrosecross.domain.operators import plan
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
 
 REQUEST_COUNT = 100_000
 SERVICE_COUNT = 4
--- a/bench/stragglers.py
+++ b/bench/stragglers.py
@@ -14,7 +14,7 @@
 
 from bench import load
 from bench import result
-from primrosecross.domain import plan
+from primrosecross.domain.operators import plan
 
 SEED = 12
 TARGETS = 4
--- a/primrosecross/adapters/call_budget.py
+++ b/primrosecross/adapters/call_budget.py
@@ -9,7 +9,7 @@
 import random
 
 from primrosecross.domain import errors
-from primrosecross.domain import lease
+from primrosecross.domain.membership import lease
 from primrosecross.ports import clock as clock_port
 
 RATE_PER_S = 20.0
--- a/primrosecross/adapters/fleet_repository.py
+++ b/primrosecross/adapters/fleet_repository.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from primrosecross.domain import errors
-from primrosecross.domain import key_map
+from primrosecross.domain.ownership import key_map
 from primrosecross.models import bounds
 from primrosecross.ports import repository
 from primrosecross.ports import store as store_port
--- /dev/null
+++ b/primrosecross/adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP of callers, targets and metrics."""
--- a/primrosecross/adapters/announce_http.py
+++ b/primrosecross/adapters/http/announce_http.py
@@ -8,7 +8,7 @@
 
 import pydantic
 
-from primrosecross.adapters import http_server
+from primrosecross.adapters.http import http_server
 from primrosecross.models import addresses
 from primrosecross.models import settings as settings_model
 from primrosecross.ports import target as target_port
--- a/primrosecross/adapters/caller_body.py
+++ b/primrosecross/adapters/http/caller_body.py
@@ -11,9 +11,9 @@
 
 import gevent
 
-from primrosecross.adapters import caller_connection
-from primrosecross.domain import body
+from primrosecross.adapters.http import caller_connection
 from primrosecross.domain import errors
+from primrosecross.domain.requests import body
 
 MAX_BUFFERED_BYTES = 64 * 1024
 MAX_CHUNKED_BYTES = 1 << 20
--- a/primrosecross/adapters/caller_connection.py
+++ b/primrosecross/adapters/http/caller_connection.py
@@ -8,9 +8,9 @@
 import gevent
 import httptools
 
-from primrosecross.adapters import http_server
 from primrosecross.adapters import sockets
-from primrosecross.domain import request
+from primrosecross.adapters.http import http_server
+from primrosecross.domain.requests import request
 
 IDLE_TIMEOUT_S = 75.0
 HEADER_TIMEOUT_S = 5.0
--- a/primrosecross/adapters/caller_http.py
+++ b/primrosecross/adapters/http/caller_http.py
@@ -14,16 +14,16 @@
 
 from gevent import pool as gevent_pool
 
-from primrosecross.adapters import caller_body
-from primrosecross.adapters import caller_connection
-from primrosecross.adapters import http_server
-from primrosecross.domain import body
+from primrosecross.adapters.http import caller_body
+from primrosecross.adapters.http import caller_connection
+from primrosecross.adapters.http import http_server
 from primrosecross.domain import errors
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import outcome
-from primrosecross.domain import request
-from primrosecross.domain import router as router_module
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import router as router_module
 from primrosecross.ports import clock as clock_port
 
 OUTCOME_HEADER = "Primrosecross-Outcome"
--- a/primrosecross/adapters/http_client.py
+++ b/primrosecross/adapters/http/http_client.py
@@ -14,8 +14,8 @@
 import httptools
 from gevent import socket as gevent_socket
 
-from primrosecross.adapters import http_response
 from primrosecross.adapters import sockets
+from primrosecross.adapters.http import http_response
 from primrosecross.domain import errors
 
 CONNECT_TIMEOUT_S = 1.0
--- a/primrosecross/adapters/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -20,8 +20,8 @@
 from gevent import server as gevent_server
 from gevent import socket as gevent_socket
 
-from primrosecross.adapters import http_parser
 from primrosecross.adapters import sockets
+from primrosecross.adapters.http import http_parser
 
 RECEIVE_BYTES = 64 * 1024
 CLOSE_DRAIN_S = 0.3
--- a/primrosecross/adapters/http_parser.py
+++ b/primrosecross/adapters/http/http_parser.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from primrosecross.adapters import framing_limit
+from primrosecross.adapters.http import framing_limit
 
 HEADS_PER_MESSAGE = 2  # the second allows for what is not in a header
 _SUPPORTED_VERSIONS = frozenset({"1.0", "1.1"})
--- a/primrosecross/adapters/http_response.py
+++ b/primrosecross/adapters/http/http_response.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from primrosecross.adapters import framing_limit
+from primrosecross.adapters.http import framing_limit
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 << 20
--- a/primrosecross/adapters/metrics_http.py
+++ b/primrosecross/adapters/http/metrics_http.py
@@ -11,13 +11,13 @@
 from prometheus_client import exposition
 from prometheus_client import registry
 
-from primrosecross.adapters import http_server
-from primrosecross.domain import election as election_module
-from primrosecross.domain import executor as executor_module
-from primrosecross.domain import latencies as latencies_module
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import meter as meter_module
-from primrosecross.domain import state as state_module
+from primrosecross.adapters.http import http_server
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import latencies as latencies_module
+from primrosecross.domain.operators import meter as meter_module
+from primrosecross.domain.ownership import election as election_module
+from primrosecross.domain.requests import executor as executor_module
 
 PREFIX = "primrosecross"
 MS_PER_S = 1000
--- a/primrosecross/adapters/request_echo.py
+++ b/primrosecross/adapters/http/request_echo.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from primrosecross.adapters import http_response
+from primrosecross.adapters.http import http_response
 
 MAX_REFUSED_IDS = 4096
 
--- a/primrosecross/adapters/target_connection.py
+++ b/primrosecross/adapters/http/target_connection.py
@@ -6,8 +6,8 @@
 from geventhttpclient import connectionpool
 from geventhttpclient import response as http_response
 
-from primrosecross.adapters import framing_limit
 from primrosecross.adapters import sockets
+from primrosecross.adapters.http import framing_limit
 
 REQUEST_ID_HEADER = "Primrosecross-Request-Id"
 NOT_RUN_HEADER = "Primrosecross-Not-Run"
--- a/primrosecross/adapters/target_http.py
+++ b/primrosecross/adapters/http/target_http.py
@@ -11,13 +11,13 @@
 from geventhttpclient import response as http_response
 
 from primrosecross.adapters import outcome_log
-from primrosecross.adapters import target_connection
-from primrosecross.adapters import target_response
-from primrosecross.domain import body
+from primrosecross.adapters.http import target_connection
+from primrosecross.adapters.http import target_response
 from primrosecross.domain import errors
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import outcome
-from primrosecross.domain import request
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import target as target_port
 
--- a/primrosecross/adapters/target_response.py
+++ b/primrosecross/adapters/http/target_response.py
@@ -5,9 +5,9 @@
 import gevent
 from geventhttpclient import response as http_response
 
-from primrosecross.adapters import target_connection
-from primrosecross.domain import body
+from primrosecross.adapters.http import target_connection
 from primrosecross.domain import errors
+from primrosecross.domain.requests import body
 from primrosecross.ports import clock as clock_port
 
 MAX_BUFFERED_BYTES = 64 * 1024
--- a/primrosecross/adapters/object_repository.py
+++ b/primrosecross/adapters/object_repository.py
@@ -10,10 +10,10 @@
 import pydantic
 
 from primrosecross.adapters import documents
-from primrosecross.domain import assignment
-from primrosecross.domain import delta
 from primrosecross.domain import errors
-from primrosecross.domain import plan
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import delta
 from primrosecross.models import assignment as assignment_model
 from primrosecross.models import bounds
 from primrosecross.models import compressed
--- a/primrosecross/adapters/object_store.py
+++ b/primrosecross/adapters/object_store.py
@@ -11,12 +11,12 @@
 
 from primrosecross.adapters import call_budget
 from primrosecross.adapters import documents
-from primrosecross.adapters import http_client
-from primrosecross.adapters import http_response
 from primrosecross.adapters import store_errors
+from primrosecross.adapters.http import http_client
+from primrosecross.adapters.http import http_response
 from primrosecross.domain import errors
-from primrosecross.domain import events
 from primrosecross.domain import stamp
+from primrosecross.domain.operators import events
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import store as store_port
 
--- a/primrosecross/adapters/operator_rpc.py
+++ b/primrosecross/adapters/operator_rpc.py
@@ -8,15 +8,15 @@
 import grpc
 
 from primrosecross.adapters import operator_access
-from primrosecross.adapters import peer_writer
-from primrosecross.domain import assignment
-from primrosecross.domain import collector as collector_module
+from primrosecross.adapters.peers import peer_writer
 from primrosecross.domain import errors
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import operations as operations_module
-from primrosecross.domain import operator_messages
-from primrosecross.domain import state as state_module
-from primrosecross.domain import status as status_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import collector as collector_module
+from primrosecross.domain.operators import operations as operations_module
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.operators import status as status_module
+from primrosecross.domain.ownership import assignment
 from primrosecross.models import plan as plan_model
 from primrosecross.rpc import operator_pb2
 from primrosecross.rpc import operator_pb2_grpc
--- a/primrosecross/adapters/outcome_log.py
+++ b/primrosecross/adapters/outcome_log.py
@@ -2,8 +2,8 @@
 
 import logging
 
-from primrosecross.domain import outcome
-from primrosecross.domain import request
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
 
 _logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/primrosecross/adapters/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between daemons: frames, liveness, bodies, TLS."""
--- a/primrosecross/adapters/message_bounds.py
+++ b/primrosecross/adapters/peers/message_bounds.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from primrosecross.domain import assignment
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import member_messages
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.ownership import assignment
 from primrosecross.models import addresses
 from primrosecross.models import bounds
 
--- a/primrosecross/adapters/peer_body.py
+++ b/primrosecross/adapters/peers/peer_body.py
@@ -12,10 +12,10 @@
 import xxhash
 from gevent import event as gevent_event
 
-from primrosecross.domain import body
 from primrosecross.domain import errors
 from primrosecross.domain import messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import body
 
 WINDOW_BYTES = 256 * 1024
 PIECE_BYTES = 32 * 1024
--- a/primrosecross/adapters/peer_codec.py
+++ b/primrosecross/adapters/peers/peer_codec.py
@@ -16,11 +16,11 @@
 import msgpack
 import msgspec
 
-from primrosecross.adapters import message_bounds
-from primrosecross.adapters import peer_body
-from primrosecross.domain import body
+from primrosecross.adapters.peers import message_bounds
+from primrosecross.adapters.peers import peer_body
 from primrosecross.domain import errors
 from primrosecross.domain import messages
+from primrosecross.domain.requests import body
 
 MAX_FRAME_BYTES = 4 << 20
 READ_BYTES = 4096  # msgpack's default holds 1 MB per connection
--- a/primrosecross/adapters/peer_connection.py
+++ b/primrosecross/adapters/peers/peer_connection.py
@@ -15,23 +15,23 @@
 from gevent import event as gevent_event
 from gevent import socket as gevent_socket
 
-from primrosecross.adapters import peer_body
-from primrosecross.adapters import peer_call
-from primrosecross.adapters import peer_codec
-from primrosecross.adapters import peer_greeting
-from primrosecross.adapters import peer_in_flight
-from primrosecross.adapters import peer_inbound
-from primrosecross.adapters import peer_liveness
-from primrosecross.adapters import peer_loss
-from primrosecross.adapters import peer_outbound
-from primrosecross.adapters import peer_report
-from primrosecross.adapters import peer_transit
-from primrosecross.adapters import peer_writer
-from primrosecross.domain import body
+from primrosecross.adapters.peers import peer_body
+from primrosecross.adapters.peers import peer_call
+from primrosecross.adapters.peers import peer_codec
+from primrosecross.adapters.peers import peer_greeting
+from primrosecross.adapters.peers import peer_in_flight
+from primrosecross.adapters.peers import peer_inbound
+from primrosecross.adapters.peers import peer_liveness
+from primrosecross.adapters.peers import peer_loss
+from primrosecross.adapters.peers import peer_outbound
+from primrosecross.adapters.peers import peer_report
+from primrosecross.adapters.peers import peer_transit
+from primrosecross.adapters.peers import peer_writer
 from primrosecross.domain import errors
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import body
 from primrosecross.ports import peers as peers_port
 
 PING_INTERVAL_S = 0.35
--- a/primrosecross/adapters/peer_in_flight.py
+++ b/primrosecross/adapters/peers/peer_in_flight.py
@@ -2,10 +2,10 @@
 
 import functools
 
-from primrosecross.adapters import peer_body
-from primrosecross.adapters import peer_call
-from primrosecross.adapters import peer_codec
-from primrosecross.adapters import peer_loss
+from primrosecross.adapters.peers import peer_body
+from primrosecross.adapters.peers import peer_call
+from primrosecross.adapters.peers import peer_codec
+from primrosecross.adapters.peers import peer_loss
 from primrosecross.domain import messages
 from primrosecross.domain import stream_messages
 
--- a/primrosecross/adapters/peer_inbound.py
+++ b/primrosecross/adapters/peers/peer_inbound.py
@@ -12,13 +12,13 @@
 
 import gevent
 
-from primrosecross.adapters import peer_body
-from primrosecross.adapters import peer_call
-from primrosecross.adapters import peer_codec
-from primrosecross.adapters import peer_in_flight
-from primrosecross.domain import body
+from primrosecross.adapters.peers import peer_body
+from primrosecross.adapters.peers import peer_call
+from primrosecross.adapters.peers import peer_codec
+from primrosecross.adapters.peers import peer_in_flight
 from primrosecross.domain import messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import body
 from primrosecross.ports import peers as peers_port
 
 RECLAIM_TIMEOUT_S = 10.0  # then a finished call's reply is discarded
--- a/primrosecross/adapters/peer_link.py
+++ b/primrosecross/adapters/peers/peer_link.py
@@ -16,9 +16,9 @@
 
 import gevent
 
-from primrosecross.adapters import peer_call
-from primrosecross.adapters import peer_connection
-from primrosecross.adapters import peer_loss
+from primrosecross.adapters.peers import peer_call
+from primrosecross.adapters.peers import peer_connection
+from primrosecross.adapters.peers import peer_loss
 from primrosecross.domain import errors
 from primrosecross.domain import messages
 from primrosecross.domain import stream_messages
--- a/primrosecross/adapters/peer_loss.py
+++ b/primrosecross/adapters/peers/peer_loss.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Sequence
 
-from primrosecross.adapters import peer_writer
+from primrosecross.adapters.peers import peer_writer
 
 MAX_LOGGED_IDS = 20
 
--- a/primrosecross/adapters/peer_outbound.py
+++ b/primrosecross/adapters/peers/peer_outbound.py
@@ -9,12 +9,12 @@
 
 import gevent
 
-from primrosecross.adapters import peer_body
-from primrosecross.adapters import peer_call
-from primrosecross.adapters import peer_in_flight
-from primrosecross.domain import body
+from primrosecross.adapters.peers import peer_body
+from primrosecross.adapters.peers import peer_call
+from primrosecross.adapters.peers import peer_in_flight
 from primrosecross.domain import messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import body
 from primrosecross.ports import peers as peers_port
 
 _NO_BODY = contextlib.nullcontext()
--- a/primrosecross/adapters/peer_report.py
+++ b/primrosecross/adapters/peers/peer_report.py
@@ -4,11 +4,11 @@
 
 from gevent import socket as gevent_socket
 
-from primrosecross.adapters import peer_in_flight
-from primrosecross.adapters import peer_liveness
-from primrosecross.adapters import peer_loss
-from primrosecross.adapters import peer_writer
 from primrosecross.adapters import sockets
+from primrosecross.adapters.peers import peer_in_flight
+from primrosecross.adapters.peers import peer_liveness
+from primrosecross.adapters.peers import peer_loss
+from primrosecross.adapters.peers import peer_writer
 
 
 class Reporter:
--- a/primrosecross/adapters/peer_streams.py
+++ b/primrosecross/adapters/peers/peer_streams.py
@@ -15,16 +15,16 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import loop_lateness
-from primrosecross.adapters import peer_connection
-from primrosecross.adapters import peer_greeting
-from primrosecross.adapters import peer_link
-from primrosecross.adapters import peer_loss
-from primrosecross.adapters import peer_writer
+from primrosecross.adapters.peers import peer_connection
+from primrosecross.adapters.peers import peer_greeting
+from primrosecross.adapters.peers import peer_link
+from primrosecross.adapters.peers import peer_loss
+from primrosecross.adapters.peers import peer_writer
 from primrosecross.domain import errors
-from primrosecross.domain import events
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
+from primrosecross.domain.operators import events
 from primrosecross.models import addresses
 from primrosecross.ports import peers as peers_port
 
--- a/primrosecross/adapters/peer_writer.py
+++ b/primrosecross/adapters/peers/peer_writer.py
@@ -12,10 +12,10 @@
 import gevent
 from gevent import socket as gevent_socket
 
-from primrosecross.adapters import peer_body
-from primrosecross.adapters import peer_call
-from primrosecross.adapters import peer_codec
-from primrosecross.adapters import peer_transit
+from primrosecross.adapters.peers import peer_body
+from primrosecross.adapters.peers import peer_call
+from primrosecross.adapters.peers import peer_codec
+from primrosecross.adapters.peers import peer_transit
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
 
--- a/primrosecross/commands/owners.py
+++ b/primrosecross/commands/owners.py
@@ -7,7 +7,7 @@
 
 from primrosecross.commands import client as client_module
 from primrosecross.commands import output
-from primrosecross.domain import assignment
+from primrosecross.domain.ownership import assignment
 from primrosecross.rpc import operator_pb2
 
 POLL_INTERVAL_S = 0.3
--- a/primrosecross/commands/timeline.py
+++ b/primrosecross/commands/timeline.py
@@ -14,7 +14,7 @@
 from primrosecross.adapters import timeline_text
 from primrosecross.commands import client as client_module
 from primrosecross.commands import output
-from primrosecross.domain import observer
+from primrosecross.domain.operators import observer
 from primrosecross.rpc import operator_pb2
 
 POLL_INTERVAL_S = 1.0
--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -17,25 +17,25 @@
 from gevent import event as gevent_event  # noqa: E402
 from grpc.experimental import gevent as grpc_gevent  # noqa: E402
 
-from primrosecross.adapters import announce_http  # noqa: E402
 from primrosecross.adapters import boot_clock  # noqa: E402
-from primrosecross.adapters import caller_http  # noqa: E402
 from primrosecross.adapters import json_log  # noqa: E402
-from primrosecross.adapters import metrics_http  # noqa: E402
 from primrosecross.adapters import object_repository  # noqa: E402
 from primrosecross.adapters import object_store  # noqa: E402
 from primrosecross.adapters import operator_access  # noqa: E402
 from primrosecross.adapters import operator_rpc  # noqa: E402
-from primrosecross.adapters import peer_streams  # noqa: E402
-from primrosecross.adapters import peer_tls  # noqa: E402
-from primrosecross.adapters import target_http  # noqa: E402
+from primrosecross.adapters.http import announce_http  # noqa: E402
+from primrosecross.adapters.http import caller_http  # noqa: E402
+from primrosecross.adapters.http import metrics_http  # noqa: E402
+from primrosecross.adapters.http import target_http  # noqa: E402
+from primrosecross.adapters.peers import peer_streams  # noqa: E402
+from primrosecross.adapters.peers import peer_tls  # noqa: E402
 from primrosecross.domain import errors  # noqa: E402
-from primrosecross.domain import events  # noqa: E402
-from primrosecross.domain import lease  # noqa: E402
-from primrosecross.domain import membership  # noqa: E402
 from primrosecross.domain import node as node_module  # noqa: E402
 from primrosecross.domain import stamp  # noqa: E402
 from primrosecross.domain import stream_messages  # noqa: E402
+from primrosecross.domain.membership import lease  # noqa: E402
+from primrosecross.domain.membership import membership  # noqa: E402
+from primrosecross.domain.operators import events  # noqa: E402
 from primrosecross.models import settings as settings_model  # noqa: E402
 
 SEED_RETRY_INTERVAL_S = 1.0
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -7,29 +7,29 @@
 
 import gevent
 
-from primrosecross.domain import body
-from primrosecross.domain import dispatcher as dispatcher_module
-from primrosecross.domain import election as election_module
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import fleet_state
-from primrosecross.domain import follower as follower_module
-from primrosecross.domain import forwards
-from primrosecross.domain import membership
 from primrosecross.domain import messages
-from primrosecross.domain import outcome
-from primrosecross.domain import plan_watch
-from primrosecross.domain import proof as proof_module
-from primrosecross.domain import quarantine as quarantine_module
-from primrosecross.domain import range_coordinator
-from primrosecross.domain import replies
-from primrosecross.domain import request_messages
 from primrosecross.domain import stream_messages
-from primrosecross.domain import target_gate
-from primrosecross.domain import target_heartbeat
-from primrosecross.domain import target_watch
 from primrosecross.domain import tasks
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.membership import follower as follower_module
+from primrosecross.domain.membership import membership
+from primrosecross.domain.membership import plan_watch
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import election as election_module
+from primrosecross.domain.ownership import proof as proof_module
+from primrosecross.domain.ownership import range_coordinator
+from primrosecross.domain.ownership import target_heartbeat
+from primrosecross.domain.ownership import target_watch
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import dispatcher as dispatcher_module
+from primrosecross.domain.requests import forwards
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import quarantine as quarantine_module
+from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request_messages
+from primrosecross.domain.requests import target_gate
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import fleet_repository
 from primrosecross.ports import peers as peers_port
--- /dev/null
+++ b/primrosecross/domain/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs and targets there are, and what each daemon knows of them."""
--- a/primrosecross/domain/announcements.py
+++ b/primrosecross/domain/membership/announcements.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from primrosecross.domain import events
+from primrosecross.domain.operators import events
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import target as target_port
 
--- a/primrosecross/domain/anti_entropy.py
+++ b/primrosecross/domain/membership/anti_entropy.py
@@ -9,9 +9,9 @@
 
 import xxhash
 
-from primrosecross.domain import assignment
-from primrosecross.domain import state as state_module
-from primrosecross.domain import state_sync as state_sync_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.membership import state_sync as state_sync_module
+from primrosecross.domain.ownership import assignment
 from primrosecross.ports import clock as clock_port
 
 FETCH_INTERVAL_MS = 1000
--- a/primrosecross/domain/directory.py
+++ b/primrosecross/domain/membership/directory.py
@@ -3,9 +3,9 @@
 import dataclasses
 import logging
 
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import fleet_state
-from primrosecross.domain import range_decisions
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.ownership import range_decisions
 from primrosecross.ports import clock as clock_port
 
 LOST_AFTER_MS = 1500  # more than three report intervals
--- a/primrosecross/domain/fleet_state.py
+++ b/primrosecross/domain/membership/fleet_state.py
@@ -7,9 +7,9 @@
 import gevent
 from gevent import event as gevent_event
 
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import key_map as key_map_module
-from primrosecross.domain import routes
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.ownership import key_map as key_map_module
+from primrosecross.domain.requests import routes
 from primrosecross.ports import fleet_repository
 
 MAX_PAST_MAPS = 32  # lets daemons a few versions behind get changes only
--- a/primrosecross/domain/membership.py
+++ b/primrosecross/domain/membership/membership.py
@@ -7,15 +7,17 @@
 import gevent
 from gevent import event as gevent_event
 
-from primrosecross.domain import assignment
-from primrosecross.domain import coordinator_client as coordinator_client_module
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import member_messages
-from primrosecross.domain import state as state_module
-from primrosecross.domain import state_sync as state_sync_module
-from primrosecross.domain import witness
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.membership import state_sync as state_sync_module
+from primrosecross.domain.membership import witness
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import (
+    coordinator_client as coordinator_client_module,
+)
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 
--- a/primrosecross/domain/plan_watch.py
+++ b/primrosecross/domain/membership/plan_watch.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from primrosecross.domain import errors
-from primrosecross.domain import fleet_state
+from primrosecross.domain.membership import fleet_state
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import fleet_repository
 
--- a/primrosecross/domain/state.py
+++ b/primrosecross/domain/membership/state.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from primrosecross.domain import assignment
-from primrosecross.domain import delta
-from primrosecross.domain import events
-from primrosecross.domain import plan
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import delta
 
 
 class ClusterState:
--- a/primrosecross/domain/state_sync.py
+++ b/primrosecross/domain/membership/state_sync.py
@@ -8,10 +8,10 @@
 
 import gevent
 
-from primrosecross.domain import delta as delta_module
 from primrosecross.domain import errors
-from primrosecross.domain import member_messages
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.ownership import delta as delta_module
 from primrosecross.ports import peers as peers_port
 from primrosecross.ports import repository as repository_port
 
--- a/primrosecross/domain/witness.py
+++ b/primrosecross/domain/membership/witness.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 
-from primrosecross.domain import lease
+from primrosecross.domain.membership import lease
 from primrosecross.ports import clock as clock_port
 
 
--- a/primrosecross/domain/witness_choice.py
+++ b/primrosecross/domain/membership/witness_choice.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from primrosecross.domain import assignment
+from primrosecross.domain.ownership import assignment
 
 
 class WitnessChooser:
--- a/primrosecross/domain/witness_sets.py
+++ b/primrosecross/domain/membership/witness_sets.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from primrosecross.domain import assignment
-from primrosecross.domain import witness_choice
+from primrosecross.domain.membership import witness_choice
+from primrosecross.domain.ownership import assignment
 
 WITNESS_COUNT = 3
 
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -3,12 +3,12 @@
 import dataclasses
 import functools
 
-from primrosecross.domain import body as body_module
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import member_messages
-from primrosecross.domain import operator_messages
-from primrosecross.domain import request_messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.requests import body as body_module
+from primrosecross.domain.requests import request_messages
 
 Message = (
     stream_messages.Hello
--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -5,39 +5,43 @@
 import logging
 from collections.abc import Callable
 
-from primrosecross.domain import announcements
-from primrosecross.domain import anti_entropy as anti_entropy_module
-from primrosecross.domain import assignment_history as assignment_history_module
-from primrosecross.domain import collector as collector_module
-from primrosecross.domain import coordinator as coordinator_module
-from primrosecross.domain import coordinator_client as coordinator_client_module
-from primrosecross.domain import deduplicator as deduplicator_module
-from primrosecross.domain import election as election_module
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import executor as executor_module
-from primrosecross.domain import forwards
-from primrosecross.domain import handover
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import load_reports
-from primrosecross.domain import member_messages
-from primrosecross.domain import membership as membership_module
 from primrosecross.domain import messages
-from primrosecross.domain import meter as meter_module
-from primrosecross.domain import observer as observer_module
-from primrosecross.domain import operations as operations_module
-from primrosecross.domain import operator_messages
-from primrosecross.domain import outcome_cache as outcome_cache_module
-from primrosecross.domain import quarantine as quarantine_module
-from primrosecross.domain import replies
-from primrosecross.domain import request_messages
-from primrosecross.domain import router as router_module
 from primrosecross.domain import shutdown
-from primrosecross.domain import state as state_module
-from primrosecross.domain import state_sync as state_sync_module
 from primrosecross.domain import stream_messages
 from primrosecross.domain import tasks
-from primrosecross.domain import witness
+from primrosecross.domain.membership import announcements
+from primrosecross.domain.membership import anti_entropy as anti_entropy_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import membership as membership_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.membership import state_sync as state_sync_module
+from primrosecross.domain.membership import witness
+from primrosecross.domain.operators import collector as collector_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import meter as meter_module
+from primrosecross.domain.operators import observer as observer_module
+from primrosecross.domain.operators import operations as operations_module
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.ownership import (
+    assignment_history as assignment_history_module,
+)
+from primrosecross.domain.ownership import coordinator as coordinator_module
+from primrosecross.domain.ownership import (
+    coordinator_client as coordinator_client_module,
+)
+from primrosecross.domain.ownership import election as election_module
+from primrosecross.domain.ownership import handover
+from primrosecross.domain.ownership import load_reports
+from primrosecross.domain.requests import deduplicator as deduplicator_module
+from primrosecross.domain.requests import executor as executor_module
+from primrosecross.domain.requests import forwards
+from primrosecross.domain.requests import outcome_cache as outcome_cache_module
+from primrosecross.domain.requests import quarantine as quarantine_module
+from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request_messages
+from primrosecross.domain.requests import router as router_module
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 from primrosecross.ports import repository as repository_port
--- /dev/null
+++ b/primrosecross/domain/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators declare, ask and see: plan, status, events, metrics."""
--- a/primrosecross/domain/collector.py
+++ b/primrosecross/domain/operators/collector.py
@@ -10,12 +10,12 @@
 import json
 
 from primrosecross.domain import errors
-from primrosecross.domain import events
 from primrosecross.domain import fanout
 from primrosecross.domain import messages
-from primrosecross.domain import observer
-from primrosecross.domain import operator_messages
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import observer
+from primrosecross.domain.operators import operator_messages
 from primrosecross.ports import peers as peers_port
 
 PEER_TIMEOUT_MS = 1000
--- a/primrosecross/domain/meter.py
+++ b/primrosecross/domain/operators/meter.py
@@ -6,12 +6,12 @@
 import logging
 from typing import Protocol
 
-from primrosecross.domain import assignment
-from primrosecross.domain import events
-from primrosecross.domain import latencies as latencies_module
-from primrosecross.domain import outcome
-from primrosecross.domain import request
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import latencies as latencies_module
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
 from primrosecross.ports import clock as clock_port
 
 BURST_REFUSALS = 10
--- a/primrosecross/domain/observer.py
+++ b/primrosecross/domain/operators/observer.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from primrosecross.domain import assignment
-from primrosecross.domain import events
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import assignment
 
 _ACTIVE = assignment.MemberState.ACTIVE
 _LEAVING = assignment.MemberState.LEAVING
--- a/primrosecross/domain/operations.py
+++ b/primrosecross/domain/operators/operations.py
@@ -4,17 +4,19 @@
 import dataclasses
 from collections.abc import Callable
 
-from primrosecross.domain import assignment
-from primrosecross.domain import coordinator_client as coordinator_client_module
 from primrosecross.domain import errors
-from primrosecross.domain import events
 from primrosecross.domain import fanout
 from primrosecross.domain import messages
-from primrosecross.domain import operator_messages
-from primrosecross.domain import plan
-from primrosecross.domain import quarantine as quarantine_module
-from primrosecross.domain import state as state_module
-from primrosecross.domain import status as status_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.operators import plan
+from primrosecross.domain.operators import status as status_module
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import (
+    coordinator_client as coordinator_client_module,
+)
+from primrosecross.domain.requests import quarantine as quarantine_module
 from primrosecross.ports import peers as peers_port
 from primrosecross.ports import repository as repository_port
 
--- a/primrosecross/domain/operator_messages.py
+++ b/primrosecross/domain/operators/operator_messages.py
@@ -5,8 +5,8 @@
 
 import dataclasses
 
-from primrosecross.domain import member_messages
-from primrosecross.domain import request_messages
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.requests import request_messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/domain/status.py
+++ b/primrosecross/domain/operators/status.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
-from primrosecross.domain import assignment
 from primrosecross.domain import errors
 from primrosecross.domain import fanout
-from primrosecross.domain import member_messages
-from primrosecross.domain import operator_messages
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.ownership import assignment
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/primrosecross/domain/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Who owns which keys: election, leases, assignment, balance, hand-over."""
--- a/primrosecross/domain/assignment_history.py
+++ b/primrosecross/domain/ownership/assignment_history.py
@@ -7,11 +7,13 @@
 import gevent
 import xxhash
 
-from primrosecross.domain import assignment
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import plan
-from primrosecross.domain import request_identity as request_identity_module
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.requests import (
+    request_identity as request_identity_module,
+)
 from primrosecross.ports import clock as clock_port
 
 MAX_VERSIONS = 64
--- a/primrosecross/domain/balance.py
+++ b/primrosecross/domain/ownership/balance.py
@@ -2,13 +2,13 @@
 
 import dataclasses
 
-from primrosecross.domain import assignment
-from primrosecross.domain import demand as demand_module
-from primrosecross.domain import hot_keys
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import member_messages
-from primrosecross.domain import plan
-from primrosecross.domain import shares as shares_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import demand as demand_module
+from primrosecross.domain.ownership import hot_keys
+from primrosecross.domain.ownership import shares as shares_module
 from primrosecross.ports import clock as clock_port
 
 KEY_HASH_MASK = assignment.KEY_SHARD_BIT - 1
--- a/primrosecross/domain/coordinator.py
+++ b/primrosecross/domain/ownership/coordinator.py
@@ -14,21 +14,21 @@
 import gevent
 from gevent import event as gevent_event
 
-from primrosecross.domain import assignment
-from primrosecross.domain import balance
-from primrosecross.domain import decisions
-from primrosecross.domain import election as election_module
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import member_messages
 from primrosecross.domain import messages
-from primrosecross.domain import operator_messages
-from primrosecross.domain import plan
-from primrosecross.domain import revocation
-from primrosecross.domain import state as state_module
 from primrosecross.domain import stream_messages
-from primrosecross.domain import witness_sets
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.membership import witness_sets
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import balance
+from primrosecross.domain.ownership import decisions
+from primrosecross.domain.ownership import election as election_module
+from primrosecross.domain.ownership import revocation
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 from primrosecross.ports import repository as repository_port
--- a/primrosecross/domain/coordinator_client.py
+++ b/primrosecross/domain/ownership/coordinator_client.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from primrosecross.domain import errors
-from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.membership import lease as lease_module
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 from primrosecross.ports import repository as repository_port
--- a/primrosecross/domain/decisions.py
+++ b/primrosecross/domain/ownership/decisions.py
@@ -6,10 +6,10 @@
 import dataclasses
 import functools
 
-from primrosecross.domain import assignment
-from primrosecross.domain import events
-from primrosecross.domain import member_messages
-from primrosecross.domain import operator_messages
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.ownership import assignment
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/domain/delta.py
+++ b/primrosecross/domain/ownership/delta.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from primrosecross.domain import assignment
+from primrosecross.domain.ownership import assignment
 
 CHUNK_PARTITIONS = 64  # partitions compared at once
 MAX_LOG_ROWS = 20_000
--- a/primrosecross/domain/demand.py
+++ b/primrosecross/domain/ownership/demand.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from primrosecross.domain import assignment
+from primrosecross.domain.ownership import assignment
 
 PRIOR_SHARE = 0.05  # of the mean partition rate
 PRIOR_MEMBER_RATE = 100.0  # requests per second of a member's partitions
--- a/primrosecross/domain/election.py
+++ b/primrosecross/domain/ownership/election.py
@@ -5,11 +5,11 @@
 import random
 from collections.abc import Callable
 
-from primrosecross.domain import assignment
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import lease_extension
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import lease_extension
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import repository as repository_port
 
--- a/primrosecross/domain/handover.py
+++ b/primrosecross/domain/ownership/handover.py
@@ -6,13 +6,15 @@
 
 from gevent import event as gevent_event
 
-from primrosecross.domain import assignment
-from primrosecross.domain import coordinator_client as coordinator_client_module
 from primrosecross.domain import errors
-from primrosecross.domain import hot_keys
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import member_messages
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import (
+    coordinator_client as coordinator_client_module,
+)
+from primrosecross.domain.ownership import hot_keys
 from primrosecross.ports import clock as clock_port
 
 IDLE_WAIT_LIMIT_MS = 500
--- a/primrosecross/domain/hot_keys.py
+++ b/primrosecross/domain/ownership/hot_keys.py
@@ -1,8 +1,8 @@
 """Splits hot keys off their partitions and merges them back."""
 
-from primrosecross.domain import assignment
-from primrosecross.domain import demand as demand_module
-from primrosecross.domain import lease as lease_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import demand as demand_module
 from primrosecross.ports import clock as clock_port
 
 SPLIT_LOAD_SHARE = 0.10
--- a/primrosecross/domain/lease_extension.py
+++ b/primrosecross/domain/ownership/lease_extension.py
@@ -26,9 +26,9 @@
 
 import dataclasses
 
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import key_map as key_map_module
-from primrosecross.domain import proof
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.ownership import key_map as key_map_module
+from primrosecross.domain.ownership import proof
 from primrosecross.ports import clock as clock_port
 
 # Spans several reports. The sum with MAX_REPORT_AGE_MS is below LEASE_MS.
--- a/primrosecross/domain/load_meter.py
+++ b/primrosecross/domain/ownership/load_meter.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 
-from primrosecross.domain import assignment
+from primrosecross.domain.ownership import assignment
 
 TARGET_SAMPLES = 4096
 SHARD_TIME_CONSTANT_S = 10.0
--- a/primrosecross/domain/load_reports.py
+++ b/primrosecross/domain/ownership/load_reports.py
@@ -3,12 +3,14 @@
 import logging
 import random
 
-from primrosecross.domain import coordinator_client as coordinator_client_module
 from primrosecross.domain import errors
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import load_meter
-from primrosecross.domain import member_messages
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.ownership import (
+    coordinator_client as coordinator_client_module,
+)
+from primrosecross.domain.ownership import load_meter
 from primrosecross.ports import clock as clock_port
 
 TICK_MS = 1000
--- a/primrosecross/domain/range_balance.py
+++ b/primrosecross/domain/ownership/range_balance.py
@@ -6,8 +6,8 @@
 
 import dataclasses
 
-from primrosecross.domain import key_load
-from primrosecross.domain import key_map as key_map_module
+from primrosecross.domain.ownership import key_load
+from primrosecross.domain.ownership import key_map as key_map_module
 
 IMBALANCE_TOLERANCE = 0.3  # excess over mean utilization, as a share of it
 MIN_UTILIZATION = 0.7  # a target below this refuses no requests
--- a/primrosecross/domain/range_coordinator.py
+++ b/primrosecross/domain/ownership/range_coordinator.py
@@ -9,19 +9,19 @@
 import gevent
 from gevent import event as gevent_event
 
-from primrosecross.domain import directory as directory_module
-from primrosecross.domain import election as election_module
 from primrosecross.domain import errors
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import fleet_state
-from primrosecross.domain import follower as follower_module
-from primrosecross.domain import key_load
-from primrosecross.domain import key_map as key_map_module
-from primrosecross.domain import lease_extension
 from primrosecross.domain import messages
-from primrosecross.domain import proof as proof_module
-from primrosecross.domain import range_decisions
 from primrosecross.domain import stream_messages
+from primrosecross.domain.membership import directory as directory_module
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.membership import follower as follower_module
+from primrosecross.domain.ownership import election as election_module
+from primrosecross.domain.ownership import key_load
+from primrosecross.domain.ownership import key_map as key_map_module
+from primrosecross.domain.ownership import lease_extension
+from primrosecross.domain.ownership import proof as proof_module
+from primrosecross.domain.ownership import range_decisions
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import fleet_repository
 from primrosecross.ports import peers as peers_port
--- a/primrosecross/domain/range_decisions.py
+++ b/primrosecross/domain/ownership/range_decisions.py
@@ -8,11 +8,11 @@
 
 import dataclasses
 
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import key_load
-from primrosecross.domain import key_map as key_map_module
-from primrosecross.domain import range_balance
-from primrosecross.domain import target_heartbeat
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.ownership import key_load
+from primrosecross.domain.ownership import key_map as key_map_module
+from primrosecross.domain.ownership import range_balance
+from primrosecross.domain.ownership import target_heartbeat
 
 DEFAULT_TYPICAL_MS = 100
 _READY = target_heartbeat.TargetState.READY.value
--- a/primrosecross/domain/revocation.py
+++ b/primrosecross/domain/ownership/revocation.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from primrosecross.domain import lease
+from primrosecross.domain.membership import lease
 from primrosecross.ports import clock as clock_port
 
 
--- a/primrosecross/domain/target_watch.py
+++ b/primrosecross/domain/ownership/target_watch.py
@@ -4,9 +4,11 @@
 import logging
 from collections.abc import Callable
 
-from primrosecross.domain import key_map as key_map_module
-from primrosecross.domain import proof as proof_module
-from primrosecross.domain import target_heartbeat as target_heartbeat_module
+from primrosecross.domain.ownership import key_map as key_map_module
+from primrosecross.domain.ownership import proof as proof_module
+from primrosecross.domain.ownership import (
+    target_heartbeat as target_heartbeat_module,
+)
 from primrosecross.ports import clock as clock_port
 
 SILENT_AFTER_MS = 3000  # heartbeats may come seconds late
--- /dev/null
+++ b/primrosecross/domain/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Where a request goes, who waits, who is refused, and what it returned."""
--- a/primrosecross/domain/admission.py
+++ b/primrosecross/domain/requests/admission.py
@@ -1,10 +1,10 @@
 """Admission control of targets: concurrency limit, queues, long-work share."""
 
-from primrosecross.domain import admission_queue
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import limit as limit_module
-from primrosecross.domain import outcome
-from primrosecross.domain import plan
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.operators import plan
+from primrosecross.domain.requests import admission_queue
+from primrosecross.domain.requests import limit as limit_module
+from primrosecross.domain.requests import outcome
 from primrosecross.ports import clock as clock_port
 
 RETRY_AFTER_MS = 1000
--- a/primrosecross/domain/admission_queue.py
+++ b/primrosecross/domain/requests/admission_queue.py
@@ -14,8 +14,8 @@
 
 from gevent import event as gevent_event
 
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import plan
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.operators import plan
 
 OVERLOADED_AFTER_MS = 100  # time without an empty queue
 REFUSAL_MARGIN_MS = 10  # between the last refusal and the maximum wait
--- a/primrosecross/domain/deduplicator.py
+++ b/primrosecross/domain/requests/deduplicator.py
@@ -9,18 +9,22 @@
 
 from collections.abc import Callable
 
-from primrosecross.domain import assignment_history as assignment_history_module
 from primrosecross.domain import errors
-from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
-from primrosecross.domain import outcome
-from primrosecross.domain import outcome_cache as outcome_cache_module
-from primrosecross.domain import plan
-from primrosecross.domain import replies
-from primrosecross.domain import request
-from primrosecross.domain import request_identity as request_identity_module
-from primrosecross.domain import request_messages
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import (
+    assignment_history as assignment_history_module,
+)
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import outcome_cache as outcome_cache_module
+from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import (
+    request_identity as request_identity_module,
+)
+from primrosecross.domain.requests import request_messages
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 
--- a/primrosecross/domain/dispatcher.py
+++ b/primrosecross/domain/requests/dispatcher.py
@@ -6,18 +6,18 @@
 import functools
 import logging
 
-from primrosecross.domain import body as body_module
 from primrosecross.domain import errors
-from primrosecross.domain import fleet_state
-from primrosecross.domain import forwards
-from primrosecross.domain import key_map as key_map_module
-from primrosecross.domain import outcome
-from primrosecross.domain import replies
-from primrosecross.domain import request
-from primrosecross.domain import retry
-from primrosecross.domain import routes
-from primrosecross.domain import target_balancer
-from primrosecross.domain import target_gate
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.ownership import key_map as key_map_module
+from primrosecross.domain.requests import body as body_module
+from primrosecross.domain.requests import forwards
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import retry
+from primrosecross.domain.requests import routes
+from primrosecross.domain.requests import target_balancer
+from primrosecross.domain.requests import target_gate
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 
--- a/primrosecross/domain/executor.py
+++ b/primrosecross/domain/requests/executor.py
@@ -2,22 +2,22 @@
 
 import functools
 
-from primrosecross.domain import admission as admission_module
-from primrosecross.domain import admission_queue
-from primrosecross.domain import assignment
-from primrosecross.domain import assignment_history
-from primrosecross.domain import body
-from primrosecross.domain import deduplicator as deduplicator_module
-from primrosecross.domain import handover
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import load_reports
-from primrosecross.domain import long_work
-from primrosecross.domain import outcome
-from primrosecross.domain import plan
-from primrosecross.domain import quarantine as quarantine_module
-from primrosecross.domain import request
-from primrosecross.domain import request_identity
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import assignment_history
+from primrosecross.domain.ownership import handover
+from primrosecross.domain.ownership import load_reports
+from primrosecross.domain.requests import admission as admission_module
+from primrosecross.domain.requests import admission_queue
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import deduplicator as deduplicator_module
+from primrosecross.domain.requests import long_work
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import quarantine as quarantine_module
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import request_identity
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import target as target_port
 
--- a/primrosecross/domain/forwards.py
+++ b/primrosecross/domain/requests/forwards.py
@@ -1,9 +1,9 @@
 """Converts requests to and from the Forward message between daemons."""
 
-from primrosecross.domain import body as body_module
-from primrosecross.domain import lease
-from primrosecross.domain import request
-from primrosecross.domain import request_messages
+from primrosecross.domain.membership import lease
+from primrosecross.domain.requests import body as body_module
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import request_messages
 from primrosecross.ports import peers as peers_port
 
 
--- a/primrosecross/domain/long_work.py
+++ b/primrosecross/domain/requests/long_work.py
@@ -4,8 +4,8 @@
 import functools
 import re
 
-from primrosecross.domain import plan
-from primrosecross.domain import request
+from primrosecross.domain.operators import plan
+from primrosecross.domain.requests import request
 
 MAX_ROUTES = 1000
 SAMPLE_WEIGHT = 0.1
--- a/primrosecross/domain/member_balancer.py
+++ b/primrosecross/domain/requests/member_balancer.py
@@ -9,9 +9,9 @@
 import dataclasses
 import random
 
-from primrosecross.domain import assignment
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import outcome
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.requests import outcome
 from primrosecross.ports import clock as clock_port
 
 LATENCY_WEIGHT = 0.2
--- a/primrosecross/domain/outcome.py
+++ b/primrosecross/domain/requests/outcome.py
@@ -4,7 +4,7 @@
 import enum
 import functools
 
-from primrosecross.domain import body as body_module
+from primrosecross.domain.requests import body as body_module
 
 
 class Reason(enum.StrEnum):
--- a/primrosecross/domain/outcome_cache.py
+++ b/primrosecross/domain/requests/outcome_cache.py
@@ -6,9 +6,11 @@
 
 from gevent import event as gevent_event
 
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import outcome
-from primrosecross.domain import request_identity as request_identity_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import (
+    request_identity as request_identity_module,
+)
 from primrosecross.ports import clock as clock_port
 
 MAX_ENTRIES = 100_000
--- a/primrosecross/domain/quarantine.py
+++ b/primrosecross/domain/requests/quarantine.py
@@ -19,15 +19,15 @@
 import gevent
 
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import lease as lease_module
 from primrosecross.domain import messages
-from primrosecross.domain import operator_messages
-from primrosecross.domain import outcome
-from primrosecross.domain import request
-from primrosecross.domain import request_identity
-from primrosecross.domain import request_messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import request_identity
+from primrosecross.domain.requests import request_messages
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 
--- a/primrosecross/domain/replies.py
+++ b/primrosecross/domain/requests/replies.py
@@ -3,9 +3,9 @@
 import functools
 
 from primrosecross.domain import messages
-from primrosecross.domain import outcome
-from primrosecross.domain import request_messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request_messages
 
 
 @functools.singledispatch
--- a/primrosecross/domain/request.py
+++ b/primrosecross/domain/requests/request.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from primrosecross.domain import body as body_module
+from primrosecross.domain.requests import body as body_module
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/domain/request_identity.py
+++ b/primrosecross/domain/requests/request_identity.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from primrosecross.domain import request
+from primrosecross.domain.requests import request
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/domain/request_messages.py
+++ b/primrosecross/domain/requests/request_messages.py
@@ -5,7 +5,7 @@
 
 import dataclasses
 
-from primrosecross.domain import body as body_module
+from primrosecross.domain.requests import body as body_module
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/domain/resend_detector.py
+++ b/primrosecross/domain/requests/resend_detector.py
@@ -3,10 +3,12 @@
 import collections
 import dataclasses
 
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import outcome
-from primrosecross.domain import request
-from primrosecross.domain import request_identity as request_identity_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import (
+    request_identity as request_identity_module,
+)
 from primrosecross.ports import clock as clock_port
 
 MAX_ENTRIES = 50_000
--- a/primrosecross/domain/retry.py
+++ b/primrosecross/domain/requests/retry.py
@@ -8,8 +8,8 @@
 import dataclasses
 import random
 
-from primrosecross.domain import outcome
-from primrosecross.domain import request
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
 
 MIN_BACKOFF_MS = 25
 MAX_BACKOFF_MS = 400
--- a/primrosecross/domain/router.py
+++ b/primrosecross/domain/requests/router.py
@@ -6,22 +6,24 @@
 
 from gevent import event as gevent_event
 
-from primrosecross.domain import assignment_history
-from primrosecross.domain import deduplicator
 from primrosecross.domain import errors
-from primrosecross.domain import executor as executor_module
-from primrosecross.domain import forwards
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import member_balancer as member_balancer_module
-from primrosecross.domain import outcome
-from primrosecross.domain import plan
-from primrosecross.domain import replies
-from primrosecross.domain import request
-from primrosecross.domain import request_identity
-from primrosecross.domain import resend_detector
-from primrosecross.domain import retry
-from primrosecross.domain import state as state_module
-from primrosecross.domain import state_sync as state_sync_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.membership import state_sync as state_sync_module
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment_history
+from primrosecross.domain.requests import deduplicator
+from primrosecross.domain.requests import executor as executor_module
+from primrosecross.domain.requests import forwards
+from primrosecross.domain.requests import (
+    member_balancer as member_balancer_module,
+)
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import request_identity
+from primrosecross.domain.requests import resend_detector
+from primrosecross.domain.requests import retry
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import peers as peers_port
 
--- a/primrosecross/domain/run_times.py
+++ b/primrosecross/domain/requests/run_times.py
@@ -1,6 +1,6 @@
 """Average run times of requests at one target, by route."""
 
-from primrosecross.domain import request
+from primrosecross.domain.requests import request
 
 AVERAGE_WEIGHT = 0.1
 INITIAL_MS = 80.0
--- a/primrosecross/domain/slot_queue.py
+++ b/primrosecross/domain/requests/slot_queue.py
@@ -13,9 +13,9 @@
 
 from gevent import event as gevent_event
 
-from primrosecross.domain import outcome
-from primrosecross.domain import request
-from primrosecross.domain import run_times
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import run_times
 from primrosecross.ports import clock as clock_port
 
 NS_PER_MS = 1_000_000
--- a/primrosecross/domain/target_balancer.py
+++ b/primrosecross/domain/requests/target_balancer.py
@@ -8,8 +8,8 @@
 import dataclasses
 import random
 
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import outcome
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.requests import outcome
 from primrosecross.ports import clock as clock_port
 
 NS_PER_MS = 1_000_000
--- a/primrosecross/domain/target_gate.py
+++ b/primrosecross/domain/requests/target_gate.py
@@ -7,14 +7,14 @@
 import gevent
 from gevent import event as gevent_event
 
-from primrosecross.domain import key_map as key_map_module
-from primrosecross.domain import outcome
-from primrosecross.domain import quarantine as quarantine_module
-from primrosecross.domain import request
-from primrosecross.domain import run_times
-from primrosecross.domain import slot_queue
-from primrosecross.domain import target_heartbeat
-from primrosecross.domain import target_watch
+from primrosecross.domain.ownership import key_map as key_map_module
+from primrosecross.domain.ownership import target_heartbeat
+from primrosecross.domain.ownership import target_watch
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import quarantine as quarantine_module
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import run_times
+from primrosecross.domain.requests import slot_queue
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import target as target_port
 
--- a/primrosecross/domain/shutdown.py
+++ b/primrosecross/domain/shutdown.py
@@ -3,13 +3,15 @@
 import logging
 from collections.abc import Callable
 
-from primrosecross.domain import assignment
-from primrosecross.domain import coordinator_client as coordinator_client_module
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import lease as lease_module
-from primrosecross.domain import operator_messages
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import lease as lease_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import (
+    coordinator_client as coordinator_client_module,
+)
 from primrosecross.ports import clock as clock_port
 
 CHECK_INTERVAL_MS = 50
--- a/primrosecross/models/assignment.py
+++ b/primrosecross/models/assignment.py
@@ -8,8 +8,8 @@
 
 import pydantic
 
-from primrosecross.domain import assignment
 from primrosecross.domain import errors
+from primrosecross.domain.ownership import assignment
 from primrosecross.models import bounds
 from primrosecross.models import compressed
 from primrosecross.models import plan
--- a/primrosecross/models/bounds.py
+++ b/primrosecross/models/bounds.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from primrosecross.domain import key_map
+from primrosecross.domain.ownership import key_map
 
 MAX_VERSION = 1 << 62  # leaves room for increments within 64 bits
 MAX_COUNT = (1 << 53) - 1  # exact in all JSON parsers; RFC 8259, section 6
--- a/primrosecross/models/delta.py
+++ b/primrosecross/models/delta.py
@@ -5,9 +5,9 @@
 
 import pydantic
 
-from primrosecross.domain import assignment
-from primrosecross.domain import delta
 from primrosecross.domain import errors
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import delta
 from primrosecross.models import assignment as assignment_model
 from primrosecross.models import bounds
 from primrosecross.models import plan
--- a/primrosecross/models/plan.py
+++ b/primrosecross/models/plan.py
@@ -10,7 +10,7 @@
 import pydantic
 
 from primrosecross.domain import errors
-from primrosecross.domain import plan
+from primrosecross.domain.operators import plan
 from primrosecross.models import bounds
 from primrosecross.models import settings
 
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -11,18 +11,18 @@
 
 from primrosecross.adapters import boot_clock
 from primrosecross.adapters import fleet_repository
-from primrosecross.adapters import http_connection
-from primrosecross.adapters import http_parser
 from primrosecross.adapters import json_log
-from primrosecross.adapters import peer_streams
+from primrosecross.adapters.http import http_connection
+from primrosecross.adapters.http import http_parser
+from primrosecross.adapters.peers import peer_streams
 from primrosecross.domain import errors
-from primrosecross.domain import events
 from primrosecross.domain import fleet_node
-from primrosecross.domain import membership
-from primrosecross.domain import meter as meter_module
-from primrosecross.domain import outcome
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
+from primrosecross.domain.membership import membership
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import meter as meter_module
+from primrosecross.domain.requests import outcome
 from primrosecross.models import addresses
 from primrosecross.platform import heartbeat_http
 from primrosecross.platform import ingress as ingress_module
@@ -171,7 +171,7 @@
 
     def _metrics_text(self) -> bytes:
         # Imported at the first scrape, as most daemons are never scraped.
-        from primrosecross.adapters import metrics_http
+        from primrosecross.adapters.http import metrics_http
 
         node = self._node
         collector = metrics_http.RequestCollector(
--- a/primrosecross/platform/headers.py
+++ b/primrosecross/platform/headers.py
@@ -4,7 +4,7 @@
 hold".
 """
 
-from primrosecross.adapters import http_headers
+from primrosecross.adapters.http import http_headers
 
 REQUEST_ID = "Request-Id"
 DEADLINE_MS = "Deadline-Ms"  # remaining time, not a point in time
--- a/primrosecross/platform/heartbeat_http.py
+++ b/primrosecross/platform/heartbeat_http.py
@@ -11,10 +11,12 @@
 import msgspec
 
 from primrosecross.adapters import documents
-from primrosecross.adapters import http_connection
-from primrosecross.adapters import http_parser
-from primrosecross.domain import target_heartbeat as target_heartbeat_module
-from primrosecross.domain import target_watch
+from primrosecross.adapters.http import http_connection
+from primrosecross.adapters.http import http_parser
+from primrosecross.domain.ownership import (
+    target_heartbeat as target_heartbeat_module,
+)
+from primrosecross.domain.ownership import target_watch
 from primrosecross.models import bounds
 
 MAX_RESPONSE_BYTES = 4096
--- a/primrosecross/platform/ingress.py
+++ b/primrosecross/platform/ingress.py
@@ -7,15 +7,15 @@
 import logging
 from collections.abc import Callable
 
-from primrosecross.adapters import http_connection
-from primrosecross.adapters import http_parser
-from primrosecross.domain import caller_wait
-from primrosecross.domain import dispatcher as dispatcher_module
-from primrosecross.domain import fleet_state
-from primrosecross.domain import key_map
-from primrosecross.domain import outcome
-from primrosecross.domain import request
-from primrosecross.domain import routes
+from primrosecross.adapters.http import http_connection
+from primrosecross.adapters.http import http_parser
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.requests import caller_wait
+from primrosecross.domain.requests import dispatcher as dispatcher_module
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import routes
 from primrosecross.platform import headers
 from primrosecross.ports import clock as clock_port
 
--- a/primrosecross/platform/plan.py
+++ b/primrosecross/platform/plan.py
@@ -9,7 +9,7 @@
 
 from primrosecross.adapters import documents
 from primrosecross.domain import errors
-from primrosecross.domain import routes
+from primrosecross.domain.requests import routes
 from primrosecross.models import bounds
 from primrosecross.models import compressed
 from primrosecross.ports import fleet_repository
--- a/primrosecross/platform/store.py
+++ b/primrosecross/platform/store.py
@@ -11,8 +11,8 @@
 
 from primrosecross.adapters import call_budget
 from primrosecross.adapters import documents
-from primrosecross.adapters import http_client
 from primrosecross.adapters import store_errors
+from primrosecross.adapters.http import http_client
 from primrosecross.domain import errors
 from primrosecross.models import bounds
 from primrosecross.ports import clock as clock_port
--- a/primrosecross/platform/targets.py
+++ b/primrosecross/platform/targets.py
@@ -3,13 +3,13 @@
 Source: PROTOCOL.md, "Workers".
 """
 
-from primrosecross.adapters import http_client
-from primrosecross.adapters import http_response
 from primrosecross.adapters import outcome_log
-from primrosecross.adapters import request_echo
+from primrosecross.adapters.http import http_client
+from primrosecross.adapters.http import http_response
+from primrosecross.adapters.http import request_echo
 from primrosecross.domain import errors
-from primrosecross.domain import outcome
-from primrosecross.domain import request
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
 from primrosecross.platform import headers
 from primrosecross.ports import clock as clock_port
 from primrosecross.ports import target as target_port
--- a/primrosecross/ports/fleet_repository.py
+++ b/primrosecross/ports/fleet_repository.py
@@ -3,8 +3,8 @@
 import dataclasses
 from typing import Protocol
 
-from primrosecross.domain import key_map
-from primrosecross.domain import routes
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.requests import routes
 from primrosecross.ports import repository
 
 
--- a/primrosecross/ports/repository.py
+++ b/primrosecross/ports/repository.py
@@ -3,9 +3,9 @@
 import dataclasses
 from typing import Protocol
 
-from primrosecross.domain import assignment
-from primrosecross.domain import delta
-from primrosecross.domain import plan
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import delta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosecross/ports/target.py
+++ b/primrosecross/ports/target.py
@@ -3,8 +3,8 @@
 import dataclasses
 from typing import Protocol
 
-from primrosecross.domain import outcome
-from primrosecross.domain import request
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
 
 DEFAULT_MAX_CONNECTIONS = 110
 
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from primrosecross.adapters import http_client
+from primrosecross.adapters.http import http_client
 from primrosecross.domain import errors
 from soak import checks
 from soak import proxy
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -13,8 +13,8 @@
 import gevent
 from gevent import event as gevent_event
 
-from primrosecross.adapters import http_connection
-from primrosecross.adapters import http_parser
+from primrosecross.adapters.http import http_connection
+from primrosecross.adapters.http import http_parser
 
 PREFIX = "/api/objects/"
 MAX_LISTED = 500
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -18,7 +18,7 @@
 import typer  # noqa: E402
 from gevent import event as gevent_event  # noqa: E402
 
-from primrosecross.adapters import http_server  # noqa: E402
+from primrosecross.adapters.http import http_server  # noqa: E402
 
 PREFIX = "/apis/primrosecross.io/v1/"
 MAX_KEPT_CHANGES = 1000
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-from primrosecross.adapters import http_client
+from primrosecross.adapters.http import http_client
 from primrosecross.domain import errors
 from standins import ports
 from standins import processes as processes_module
--- a/standins/target.py
+++ b/standins/target.py
@@ -29,7 +29,7 @@
 import geventhttpclient  # noqa: E402
 import typer  # noqa: E402
 
-from primrosecross.adapters import http_server  # noqa: E402
+from primrosecross.adapters.http import http_server  # noqa: E402
 
 ANNOUNCE_INTERVAL_S = 2.0
 COLD_FACTOR = 4
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -18,9 +18,9 @@
 import gevent
 from gevent import event as gevent_event
 
-from primrosecross.adapters import http_client
-from primrosecross.adapters import http_connection
-from primrosecross.adapters import http_parser
+from primrosecross.adapters.http import http_client
+from primrosecross.adapters.http import http_connection
+from primrosecross.adapters.http import http_parser
 from primrosecross.domain import errors
 
 HEARTBEAT_INTERVAL_S = 0.3
--- a/tests/assignments.py
+++ b/tests/assignments.py
@@ -1,7 +1,7 @@
 """Factories of members, services and assignments for tests."""
 
-from primrosecross.domain import assignment
-from primrosecross.domain import plan
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
 
 SERVICE = "rezervace"
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,8 +1,8 @@
 """Fakes of the clock, store and peers ports."""
 
 from primrosecross.domain import errors
-from primrosecross.domain import lease
 from primrosecross.domain import messages
+from primrosecross.domain.membership import lease
 from primrosecross.ports import peers as peers_port
 from primrosecross.ports import store as store_port
 
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -6,14 +6,14 @@
 
 from primrosecross.adapters import fleet_repository
 from primrosecross.domain import errors
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import key_map
 from primrosecross.domain import messages
-from primrosecross.domain import outcome
-from primrosecross.domain import range_decisions
-from primrosecross.domain import request
-from primrosecross.domain import routes
-from primrosecross.domain import target_heartbeat
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import range_decisions
+from primrosecross.domain.ownership import target_heartbeat
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import routes
 from primrosecross.ports import fleet_repository as fleet_repository_port
 from primrosecross.ports import peers as peers_port
 from primrosecross.ports import store as store_port
--- a/tests/key_model.py
+++ b/tests/key_model.py
@@ -8,11 +8,11 @@
 import dataclasses
 import random
 
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import key_map
-from primrosecross.domain import proof
-from primrosecross.domain import range_decisions
-from primrosecross.domain import target_watch
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import proof
+from primrosecross.domain.ownership import range_decisions
+from primrosecross.domain.ownership import target_watch
 from tests import fakes
 from tests import fleet_fakes
 from tests import key_model_election
--- a/tests/key_model_election.py
+++ b/tests/key_model_election.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from primrosecross.domain import lease_extension
+from primrosecross.domain.ownership import lease_extension
 
 RENEWAL_INTERVAL_MS = 300
 TERM_MS = 1500
--- a/tests/key_model_target.py
+++ b/tests/key_model_target.py
@@ -1,7 +1,7 @@
 """Targets in the simulation of key_model: heartbeats, held keys, releases."""
 
-from primrosecross.domain import proof
-from primrosecross.domain import target_heartbeat
+from primrosecross.domain.ownership import proof
+from primrosecross.domain.ownership import target_heartbeat
 from tests import fleet_fakes
 
 
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -5,28 +5,28 @@
 import functools
 from collections.abc import Callable
 
-from primrosecross.domain import assignment
-from primrosecross.domain import assignment_history
-from primrosecross.domain import body
-from primrosecross.domain import deduplicator
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import executor
-from primrosecross.domain import handover
-from primrosecross.domain import lease
-from primrosecross.domain import load_reports
 from primrosecross.domain import messages
-from primrosecross.domain import operator_messages
-from primrosecross.domain import outcome
-from primrosecross.domain import outcome_cache
-from primrosecross.domain import plan
-from primrosecross.domain import quarantine
-from primrosecross.domain import replies
-from primrosecross.domain import request
-from primrosecross.domain import request_messages
-from primrosecross.domain import router
 from primrosecross.domain import stamp
-from primrosecross.domain import state
+from primrosecross.domain.membership import lease
+from primrosecross.domain.membership import state
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import assignment_history
+from primrosecross.domain.ownership import handover
+from primrosecross.domain.ownership import load_reports
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import deduplicator
+from primrosecross.domain.requests import executor
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import outcome_cache
+from primrosecross.domain.requests import quarantine
+from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import request_messages
+from primrosecross.domain.requests import router
 from primrosecross.ports import peers as peers_port
 from primrosecross.ports import target
 from tests import fakes
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,15 +9,15 @@
 import gevent
 
 from primrosecross.adapters import boot_clock
-from primrosecross.domain import admission
-from primrosecross.domain import admission_queue
-from primrosecross.domain import assignment
-from primrosecross.domain import lease
-from primrosecross.domain import limit
-from primrosecross.domain import long_work
-from primrosecross.domain import member_balancer
-from primrosecross.domain import outcome
-from primrosecross.domain import plan
+from primrosecross.domain.membership import lease
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.requests import admission
+from primrosecross.domain.requests import admission_queue
+from primrosecross.domain.requests import limit
+from primrosecross.domain.requests import long_work
+from primrosecross.domain.requests import member_balancer
+from primrosecross.domain.requests import outcome
 from tests import fakes
 from tests import request_fakes
 
--- a/tests/test_anti_entropy.py
+++ b/tests/test_anti_entropy.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from primrosecross.domain import anti_entropy
-from primrosecross.domain import assignment
+from primrosecross.domain.membership import anti_entropy
+from primrosecross.domain.ownership import assignment
 
 
 def _members(*regions: str) -> assignment.Assignment:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -4,12 +4,12 @@
 import dataclasses
 import unittest
 
-from primrosecross.domain import assignment
-from primrosecross.domain import balance
-from primrosecross.domain import decisions
-from primrosecross.domain import member_messages
-from primrosecross.domain import operator_messages
-from primrosecross.domain import witness_choice
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import witness_choice
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import balance
+from primrosecross.domain.ownership import decisions
 from tests import assignments
 from tests import fakes
 
--- a/tests/test_delta.py
+++ b/tests/test_delta.py
@@ -4,10 +4,10 @@
 import unittest
 
 from primrosecross.adapters import object_repository
-from primrosecross.domain import assignment
-from primrosecross.domain import balance
-from primrosecross.domain import delta
 from primrosecross.domain import errors
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import balance
+from primrosecross.domain.ownership import delta
 from primrosecross.models import delta as delta_model
 from tests import assignments
 from tests import fakes
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,18 +4,18 @@
 import functools
 import unittest
 
-from primrosecross.domain import dispatcher
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import fleet_state
-from primrosecross.domain import key_map
-from primrosecross.domain import outcome
-from primrosecross.domain import proof
-from primrosecross.domain import quarantine
-from primrosecross.domain import request_messages
-from primrosecross.domain import routes
-from primrosecross.domain import target_gate
-from primrosecross.domain import target_heartbeat
-from primrosecross.domain import target_watch
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import proof
+from primrosecross.domain.ownership import target_heartbeat
+from primrosecross.domain.ownership import target_watch
+from primrosecross.domain.requests import dispatcher
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import quarantine
+from primrosecross.domain.requests import request_messages
+from primrosecross.domain.requests import routes
+from primrosecross.domain.requests import target_gate
 from primrosecross.ports import peers as peers_port
 from tests import fleet_fakes
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 _TEST = re.compile(r"`(test_\w+)(?:\.(\w+))?`")
-_MODULE = re.compile(r"`(?:domain|adapters|platform)/([\w, ]+)`")
+_MODULE = re.compile(r"`((?:domain|adapters|platform)/(?:\w+/)?)([\w, ]+)`")
 MIN_NAMED = 20
 
 
@@ -30,12 +30,14 @@
 
     def test_every_named_module_exists(self):
         text = (ROOT / "docs" / "platform.md").read_text()
+        package = ROOT / "primrosecross"
         existing_modules = {
-            path.stem for path in ROOT.glob("primrosecross/*/*.py")
+            str(path.relative_to(package).with_suffix(""))
+            for path in package.rglob("*.py")
         }
         named = {
-            name.strip()
-            for names in _MODULE.findall(text)
+            folder + name.strip()
+            for folder, names in _MODULE.findall(text)
             for name in names.split(",")
         }
         self.assertGreater(len(named), MIN_NAMED)
--- a/tests/test_election_handicap.py
+++ b/tests/test_election_handicap.py
@@ -8,11 +8,11 @@
 import unittest
 from unittest import mock
 
-from primrosecross.domain import election
 from primrosecross.domain import errors
-from primrosecross.domain import events
 from primrosecross.domain import fleet_node
 from primrosecross.domain import stamp
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import election
 from primrosecross.ports import repository as repository_port
 from tests import fakes
 from tests import fleet_fakes
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -8,16 +8,16 @@
 import gevent
 
 from primrosecross.adapters import boot_clock
-from primrosecross.adapters import http_client
-from primrosecross.adapters import http_response
 from primrosecross.adapters import object_store
-from primrosecross.adapters import target_http
-from primrosecross.domain import body
+from primrosecross.adapters.http import http_client
+from primrosecross.adapters.http import http_response
+from primrosecross.adapters.http import target_http
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import outcome
-from primrosecross.domain import request
 from primrosecross.domain import stamp
+from primrosecross.domain.operators import events
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
 from primrosecross.platform import targets as platform_targets
 from primrosecross.ports import target as target_port
 from tests import endless_fakes
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -7,16 +7,16 @@
 
 import gevent
 
-from primrosecross.adapters import announce_http
-from primrosecross.adapters import caller_body
-from primrosecross.adapters import caller_connection
-from primrosecross.adapters import http_connection
-from primrosecross.adapters import http_parser
-from primrosecross.adapters import http_server
-from primrosecross.adapters import peer_codec
-from primrosecross.domain import body
+from primrosecross.adapters.http import announce_http
+from primrosecross.adapters.http import caller_body
+from primrosecross.adapters.http import caller_connection
+from primrosecross.adapters.http import http_connection
+from primrosecross.adapters.http import http_parser
+from primrosecross.adapters.http import http_server
+from primrosecross.adapters.peers import peer_codec
 from primrosecross.domain import errors
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import body
 from tests import endless_fakes
 
 HELLO = stream_messages.Hello(2, "c", "vm", "i", "control")
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import fleet_state
-from primrosecross.domain import follower
-from primrosecross.domain import key_map
-from primrosecross.domain import proof
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.membership import follower
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import proof
 from tests import fakes
 from tests import fleet_fakes
 
--- a/tests/test_fuzz_transport.py
+++ b/tests/test_fuzz_transport.py
@@ -17,19 +17,19 @@
 from hypothesis import strategies
 
 from primrosecross.adapters import boot_clock
-from primrosecross.adapters import caller_http
 from primrosecross.adapters import fleet_repository
-from primrosecross.adapters import http_parser
-from primrosecross.adapters import peer_codec
+from primrosecross.adapters.http import caller_http
+from primrosecross.adapters.http import http_parser
+from primrosecross.adapters.peers import peer_codec
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import key_map
 from primrosecross.domain import messages
-from primrosecross.domain import outcome
 from primrosecross.domain import stamp
-from primrosecross.domain import state as state_module
 from primrosecross.domain import stream_messages
-from primrosecross.domain import target_heartbeat
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import target_heartbeat
+from primrosecross.domain.requests import outcome
 from primrosecross.platform import heartbeat_http
 from primrosecross.platform import plan
 from primrosecross.platform import store
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -11,12 +11,12 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from primrosecross.adapters import caller_body
-from primrosecross.adapters import caller_connection
-from primrosecross.adapters import http_client
-from primrosecross.adapters import http_connection
-from primrosecross.adapters import http_parser
-from primrosecross.adapters import http_server
+from primrosecross.adapters.http import caller_body
+from primrosecross.adapters.http import caller_connection
+from primrosecross.adapters.http import http_client
+from primrosecross.adapters.http import http_connection
+from primrosecross.adapters.http import http_parser
+from primrosecross.adapters.http import http_server
 from primrosecross.domain import errors
 
 _AMBIGUOUS_REQUESTS = {
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from primrosecross.domain import key_map
-from primrosecross.domain import proof
-from primrosecross.domain import target_heartbeat
-from primrosecross.domain import target_watch
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import proof
+from primrosecross.domain.ownership import target_heartbeat
+from primrosecross.domain.ownership import target_watch
 from tests import fakes
 from tests import fleet_fakes
 
--- a/tests/test_key_map.py
+++ b/tests/test_key_map.py
@@ -7,7 +7,7 @@
 
 from primrosecross.adapters import fleet_repository
 from primrosecross.domain import errors
-from primrosecross.domain import key_map
+from primrosecross.domain.ownership import key_map
 from tests import fleet_fakes
 
 _LAST = key_map.LAST_KEY
--- a/tests/test_key_model.py
+++ b/tests/test_key_model.py
@@ -7,10 +7,10 @@
 import unittest
 from unittest import mock
 
-from primrosecross.domain import lease_extension
-from primrosecross.domain import proof
-from primrosecross.domain import target_heartbeat
-from primrosecross.domain import target_watch
+from primrosecross.domain.ownership import lease_extension
+from primrosecross.domain.ownership import proof
+from primrosecross.domain.ownership import target_heartbeat
+from primrosecross.domain.ownership import target_watch
 from tests import key_model
 
 SEEDS = 20
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from primrosecross.domain import lease
-from primrosecross.domain import revocation
-from primrosecross.domain import witness
+from primrosecross.domain.membership import lease
+from primrosecross.domain.membership import witness
+from primrosecross.domain.ownership import revocation
 from tests import fakes
 
 WITNESSES = ("w1", "w2", "w3")
--- a/tests/test_lease_extension.py
+++ b/tests/test_lease_extension.py
@@ -3,9 +3,9 @@
 import dataclasses
 import unittest
 
-from primrosecross.domain import key_map
-from primrosecross.domain import lease_extension
-from primrosecross.domain import proof
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import lease_extension
+from primrosecross.domain.ownership import proof
 from tests import fakes
 from tests import fleet_fakes
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -4,18 +4,18 @@
 import random
 import unittest
 
-from primrosecross.domain import assignment
-from primrosecross.domain import decisions
-from primrosecross.domain import events
-from primrosecross.domain import handover
-from primrosecross.domain import lease
-from primrosecross.domain import load_meter
-from primrosecross.domain import load_reports
-from primrosecross.domain import member_messages
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
-from primrosecross.domain import state
 from primrosecross.domain import stream_messages
+from primrosecross.domain.membership import lease
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import state
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import decisions
+from primrosecross.domain.ownership import handover
+from primrosecross.domain.ownership import load_meter
+from primrosecross.domain.ownership import load_reports
 from tests import assignments
 from tests import fakes
 
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -7,15 +7,15 @@
 import zlib
 from unittest import mock
 
-from primrosecross.adapters import http_response
 from primrosecross.adapters import object_repository
 from primrosecross.adapters import object_store
-from primrosecross.adapters import peer_codec
-from primrosecross.domain import assignment
+from primrosecross.adapters.http import http_response
+from primrosecross.adapters.peers import peer_codec
 from primrosecross.domain import errors
-from primrosecross.domain import events
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import assignment
 from primrosecross.models import assignment as assignment_model
 from primrosecross.models import delta as delta_model
 from primrosecross.models import plan as plan_model
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,15 +10,15 @@
 import zlib
 from unittest import mock
 
-from primrosecross.adapters import http_parser
-from primrosecross.adapters import http_response
-from primrosecross.adapters import peer_codec
+from primrosecross.adapters.http import http_parser
+from primrosecross.adapters.http import http_response
+from primrosecross.adapters.peers import peer_codec
 from primrosecross.domain import errors
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import key_map
-from primrosecross.domain import proof
-from primrosecross.domain import routes
-from primrosecross.domain import target_watch
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import proof
+from primrosecross.domain.ownership import target_watch
+from primrosecross.domain.requests import routes
 from primrosecross.models import bounds
 from primrosecross.platform import heartbeat_http
 from primrosecross.platform import plan
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -12,18 +12,18 @@
 import pydantic
 from gevent import server as gevent_server
 
-from primrosecross.adapters import announce_http
 from primrosecross.adapters import boot_clock
 from primrosecross.adapters import fleet_repository
-from primrosecross.adapters import peer_codec
-from primrosecross.adapters import peer_streams
+from primrosecross.adapters.http import announce_http
+from primrosecross.adapters.peers import peer_codec
+from primrosecross.adapters.peers import peer_streams
 from primrosecross.domain import errors
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import key_map
-from primrosecross.domain import member_messages
-from primrosecross.domain import range_decisions
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import range_decisions
 from primrosecross.models import settings as settings_model
 from primrosecross.ports import target as target_port
 from standins import ports
--- a/tests/test_odd_state.py
+++ b/tests/test_odd_state.py
@@ -8,16 +8,16 @@
 from gevent import event as gevent_event
 
 from primrosecross.adapters import fleet_repository
-from primrosecross.domain import election
-from primrosecross.domain import events
-from primrosecross.domain import fleet_messages
 from primrosecross.domain import fleet_node
-from primrosecross.domain import fleet_state
-from primrosecross.domain import follower
-from primrosecross.domain import key_map
-from primrosecross.domain import proof
 from primrosecross.domain import stamp
 from primrosecross.domain import tasks
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.membership import follower
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import election
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import proof
 from tests import fakes
 from tests import fleet_fakes
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,26 +11,26 @@
 from prometheus_client import parser
 
 from primrosecross.adapters import json_log
-from primrosecross.adapters import metrics_http
 from primrosecross.adapters import object_repository
 from primrosecross.adapters import operator_access
-from primrosecross.adapters import peer_codec
-from primrosecross.domain import assignment
+from primrosecross.adapters.http import metrics_http
+from primrosecross.adapters.peers import peer_codec
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import lease
-from primrosecross.domain import member_messages
 from primrosecross.domain import messages
-from primrosecross.domain import meter
-from primrosecross.domain import operations
-from primrosecross.domain import operator_messages
-from primrosecross.domain import outcome
-from primrosecross.domain import plan
-from primrosecross.domain import quarantine
-from primrosecross.domain import request
 from primrosecross.domain import stamp
-from primrosecross.domain import state
-from primrosecross.domain import status
+from primrosecross.domain.membership import lease
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import state
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import meter
+from primrosecross.domain.operators import operations
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.operators import plan
+from primrosecross.domain.operators import status
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import quarantine
+from primrosecross.domain.requests import request
 from primrosecross.models import plan as plan_model
 from primrosecross.models import settings
 from primrosecross.rpc import operator_pb2
@@ -329,7 +329,7 @@
         stream = io.StringIO()
         handler = logging.StreamHandler(stream)
         handler.setFormatter(json_log.JsonFormatter(vm="a"))
-        logger = logging.getLogger("primrosecross.domain.meter")
+        logger = logging.getLogger("primrosecross.domain.operators.meter")
         logger.addHandler(handler)
         self.addCleanup(logger.removeHandler, handler)
         self.addCleanup(logger.setLevel, logger.level)
--- a/tests/test_operators_http.py
+++ b/tests/test_operators_http.py
@@ -6,7 +6,7 @@
 
 from gevent import pywsgi
 
-from primrosecross.adapters import http_server
+from primrosecross.adapters.http import http_server
 
 PORTS = {pywsgi.WSGIServer: 31400, http_server.NoDelayWsgiServer: 31401}
 REQUESTS = 10
--- a/tests/test_ownership_coordinator.py
+++ b/tests/test_ownership_coordinator.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from primrosecross.domain import assignment
-from primrosecross.domain import coordinator
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import lease
-from primrosecross.domain import operator_messages
 from primrosecross.domain import stamp
+from primrosecross.domain.membership import lease
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import coordinator
 from tests import fakes
 from tests import test_ownership_decisions
 from tests import test_ownership_store
--- a/tests/test_ownership_decisions.py
+++ b/tests/test_ownership_decisions.py
@@ -3,10 +3,10 @@
 import dataclasses
 import unittest
 
-from primrosecross.domain import assignment
-from primrosecross.domain import decisions
-from primrosecross.domain import member_messages
-from primrosecross.domain import witness_sets
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import witness_sets
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import decisions
 
 SERVICE = "rezervace"
 
--- a/tests/test_ownership_election.py
+++ b/tests/test_ownership_election.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from primrosecross.domain import assignment
-from primrosecross.domain import coordinator_client
-from primrosecross.domain import election
 from primrosecross.domain import errors
 from primrosecross.domain import messages
-from primrosecross.domain import operator_messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import coordinator_client
+from primrosecross.domain.ownership import election
 from primrosecross.ports import repository
 from tests import fakes
 from tests import test_ownership_decisions
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -11,13 +11,13 @@
 import unittest
 from collections.abc import Callable
 
-from primrosecross.domain import assignment
-from primrosecross.domain import decisions
-from primrosecross.domain import lease
-from primrosecross.domain import member_messages
-from primrosecross.domain import revocation
-from primrosecross.domain import witness
-from primrosecross.domain import witness_sets
+from primrosecross.domain.membership import lease
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import witness
+from primrosecross.domain.membership import witness_sets
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.ownership import decisions
+from primrosecross.domain.ownership import revocation
 from tests import fakes
 
 TIMING = lease.LeaseTiming()
--- a/tests/test_ownership_proof.py
+++ b/tests/test_ownership_proof.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from primrosecross.domain import lease
-from primrosecross.domain import revocation
+from primrosecross.domain.membership import lease
+from primrosecross.domain.ownership import revocation
 from tests import fakes
 
 WITNESSES = ("w1", "w2", "w3")
--- a/tests/test_ownership_store.py
+++ b/tests/test_ownership_store.py
@@ -4,15 +4,15 @@
 
 from primrosecross.adapters import call_budget
 from primrosecross.adapters import object_repository
-from primrosecross.domain import assignment
 from primrosecross.domain import errors
-from primrosecross.domain import events
-from primrosecross.domain import member_messages
 from primrosecross.domain import messages
-from primrosecross.domain import plan
 from primrosecross.domain import stamp
-from primrosecross.domain import state as state_module
-from primrosecross.domain import state_sync as state_sync_module
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.membership import state_sync as state_sync_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import plan
+from primrosecross.domain.ownership import assignment
 from primrosecross.ports import store
 from tests import fakes
 
--- a/tests/test_ownership_witness.py
+++ b/tests/test_ownership_witness.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from primrosecross.domain import lease
-from primrosecross.domain import witness
+from primrosecross.domain.membership import lease
+from primrosecross.domain.membership import witness
 from tests import fakes
 
 TIMING = lease.LeaseTiming()
--- a/tests/test_plan_watch.py
+++ b/tests/test_plan_watch.py
@@ -6,9 +6,9 @@
 from gevent import event as gevent_event
 
 from primrosecross.domain import errors
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import fleet_state
-from primrosecross.domain import plan_watch
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.membership import plan_watch
 from primrosecross.ports import fleet_repository
 from tests import fleet_fakes
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,11 +3,11 @@
 import unittest
 
 from primrosecross.domain import errors
-from primrosecross.domain import operator_messages
-from primrosecross.domain import outcome
-from primrosecross.domain import quarantine
-from primrosecross.domain import request
-from primrosecross.domain import request_messages
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import quarantine
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import request_messages
 from tests import request_fakes
 
 LOST = outcome.Unknown(outcome.Reason.ANSWER_LOST, "")
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -4,17 +4,17 @@
 import unittest
 
 from primrosecross.adapters import fleet_repository
-from primrosecross.domain import election
-from primrosecross.domain import events
-from primrosecross.domain import fleet_messages
 from primrosecross.domain import fleet_node
-from primrosecross.domain import fleet_state
-from primrosecross.domain import follower
-from primrosecross.domain import key_map
-from primrosecross.domain import lease_extension
-from primrosecross.domain import proof
-from primrosecross.domain import range_coordinator
 from primrosecross.domain import stamp
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.membership import follower
+from primrosecross.domain.operators import events
+from primrosecross.domain.ownership import election
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import lease_extension
+from primrosecross.domain.ownership import proof
+from primrosecross.domain.ownership import range_coordinator
 from tests import fleet_fakes
 
 _LAST = key_map.LAST_KEY
--- a/tests/test_range_crest.py
+++ b/tests/test_range_crest.py
@@ -11,9 +11,9 @@
 import unittest
 from unittest import mock
 
-from primrosecross.domain import key_load
-from primrosecross.domain import key_map
-from primrosecross.domain import range_balance
+from primrosecross.domain.ownership import key_load
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import range_balance
 
 TARGETS = 53
 CAPACITY = 25.0  # requests per second of each target
--- a/tests/test_range_decisions.py
+++ b/tests/test_range_decisions.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from primrosecross.domain import fleet_messages
-from primrosecross.domain import key_load
-from primrosecross.domain import key_map
-from primrosecross.domain import range_decisions
+from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.ownership import key_load
+from primrosecross.domain.ownership import key_map
+from primrosecross.domain.ownership import range_decisions
 from tests import fleet_fakes
 
 _LAST = key_map.LAST_KEY
--- a/tests/test_repeated_refusal.py
+++ b/tests/test_repeated_refusal.py
@@ -10,9 +10,9 @@
 
 from primrosecross.adapters import boot_clock
 from primrosecross.domain import errors
-from primrosecross.domain import outcome
-from primrosecross.domain import replies
-from primrosecross.domain import request
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request
 from primrosecross.platform import store
 from primrosecross.platform import targets as platform_targets
 from primrosecross.ports import target as target_port
--- a/tests/test_repeated_refusal_own.py
+++ b/tests/test_repeated_refusal_own.py
@@ -4,8 +4,8 @@
 
 import gevent
 
-from primrosecross.adapters import target_http
-from primrosecross.domain import outcome
+from primrosecross.adapters.http import target_http
+from primrosecross.domain.requests import outcome
 from primrosecross.ports import target as target_port
 from tests import test_repeated_refusal
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,12 +8,12 @@
 from gevent import event
 
 from primrosecross.domain import messages
-from primrosecross.domain import outcome
-from primrosecross.domain import outcome_cache
-from primrosecross.domain import replies
-from primrosecross.domain import request_identity
-from primrosecross.domain import request_messages
-from primrosecross.domain import retry
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import outcome_cache
+from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request_identity
+from primrosecross.domain.requests import request_messages
+from primrosecross.domain.requests import retry
 from tests import fakes
 from tests import request_fakes
 
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -4,10 +4,10 @@
 
 import gevent
 
-from primrosecross.domain import caller_wait
-from primrosecross.domain import outcome
-from primrosecross.domain import run_times
-from primrosecross.domain import slot_queue
+from primrosecross.domain.requests import caller_wait
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import run_times
+from primrosecross.domain.requests import slot_queue
 from tests import fakes
 from tests import fleet_fakes
 
--- a/tests/test_slow_target.py
+++ b/tests/test_slow_target.py
@@ -6,8 +6,8 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import boot_clock
-from primrosecross.adapters import target_http
-from primrosecross.domain import outcome
+from primrosecross.adapters.http import target_http
+from primrosecross.domain.requests import outcome
 from primrosecross.platform import targets
 from primrosecross.ports import target as target_port
 from tests import fleet_fakes
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -4,19 +4,19 @@
 import unittest
 from xml.etree import ElementTree
 
-from primrosecross.adapters import http_server
 from primrosecross.adapters import object_store
 from primrosecross.adapters import timeline_svg
 from primrosecross.adapters import timeline_text
-from primrosecross.domain import assignment
-from primrosecross.domain import collector
-from primrosecross.domain import events
-from primrosecross.domain import meter
-from primrosecross.domain import observer
-from primrosecross.domain import operator_messages
-from primrosecross.domain import outcome
+from primrosecross.adapters.http import http_server
 from primrosecross.domain import stamp
-from primrosecross.domain import state
+from primrosecross.domain.membership import state
+from primrosecross.domain.operators import collector
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import meter
+from primrosecross.domain.operators import observer
+from primrosecross.domain.operators import operator_messages
+from primrosecross.domain.ownership import assignment
+from primrosecross.domain.requests import outcome
 from standins import platform
 from standins import ports
 from tests import fakes
--- a/tests/test_transit.py
+++ b/tests/test_transit.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from primrosecross.adapters import peer_transit
+from primrosecross.adapters.peers import peer_transit
 
 OFFSET_MS = -7_000_000  # between the clocks of two VMs
 
--- a/tests/test_transport_announce.py
+++ b/tests/test_transport_announce.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from primrosecross.domain import announcements
-from primrosecross.domain import events
 from primrosecross.domain import stamp
+from primrosecross.domain.membership import announcements
+from primrosecross.domain.operators import events
 from primrosecross.ports import target as target_port
 from tests import fakes
 
--- a/tests/test_transport_bodies.py
+++ b/tests/test_transport_bodies.py
@@ -9,14 +9,14 @@
 from gevent import pywsgi
 from gevent import socket as gevent_socket
 
-from primrosecross.adapters import caller_body
-from primrosecross.adapters import caller_connection
-from primrosecross.adapters import peer_body
-from primrosecross.adapters import peer_in_flight
-from primrosecross.domain import body
+from primrosecross.adapters.http import caller_body
+from primrosecross.adapters.http import caller_connection
+from primrosecross.adapters.peers import peer_body
+from primrosecross.adapters.peers import peer_in_flight
 from primrosecross.domain import errors
-from primrosecross.domain import request_messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import request_messages
 from standins import ports
 from tests import test_transport_peers
 
--- a/tests/test_transport_lost_calls.py
+++ b/tests/test_transport_lost_calls.py
@@ -16,16 +16,16 @@
 from primrosecross.adapters import boot_clock
 from primrosecross.adapters import json_log
 from primrosecross.adapters import loop_lateness
-from primrosecross.adapters import peer_connection
-from primrosecross.adapters import peer_loss
-from primrosecross.adapters import peer_writer
+from primrosecross.adapters.peers import peer_connection
+from primrosecross.adapters.peers import peer_loss
+from primrosecross.adapters.peers import peer_writer
 from primrosecross.domain import errors
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
 from standins import ports
 from tests import test_transport_peers
 
-LOSS_LOGGER = "primrosecross.adapters.peer_loss"
+LOSS_LOGGER = "primrosecross.adapters.peers.peer_loss"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
--- a/tests/test_transport_path.py
+++ b/tests/test_transport_path.py
@@ -10,17 +10,17 @@
 from gevent import pywsgi
 
 from primrosecross.adapters import boot_clock
-from primrosecross.adapters import caller_http
-from primrosecross.adapters import target_http
-from primrosecross.domain import events
+from primrosecross.adapters.http import caller_http
+from primrosecross.adapters.http import target_http
 from primrosecross.domain import messages
-from primrosecross.domain import outcome
-from primrosecross.domain import plan
-from primrosecross.domain import replies
-from primrosecross.domain import request
-from primrosecross.domain import request_messages
 from primrosecross.domain import stamp
-from primrosecross.domain import state as state_module
+from primrosecross.domain.membership import state as state_module
+from primrosecross.domain.operators import events
+from primrosecross.domain.operators import plan
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request
+from primrosecross.domain.requests import request_messages
 from primrosecross.models import plan as plan_model
 from primrosecross.ports import target as target_port
 from standins import ports
--- a/tests/test_transport_peers.py
+++ b/tests/test_transport_peers.py
@@ -9,14 +9,14 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import boot_clock
-from primrosecross.adapters import peer_loss
-from primrosecross.adapters import peer_streams
-from primrosecross.domain import body
+from primrosecross.adapters.peers import peer_loss
+from primrosecross.adapters.peers import peer_streams
 from primrosecross.domain import errors
-from primrosecross.domain import member_messages
-from primrosecross.domain import request_messages
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
+from primrosecross.domain.membership import member_messages
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import request_messages
 from standins import ports
 
 DETECTION_LIMIT_S = 2.0
--- a/tests/test_transport_reclaim.py
+++ b/tests/test_transport_reclaim.py
@@ -8,13 +8,13 @@
 import gevent.event
 from gevent import socket as gevent_socket
 
-from primrosecross.adapters import peer_codec
-from primrosecross.adapters import peer_loss
-from primrosecross.adapters import peer_streams
-from primrosecross.domain import body
+from primrosecross.adapters.peers import peer_codec
+from primrosecross.adapters.peers import peer_loss
+from primrosecross.adapters.peers import peer_streams
 from primrosecross.domain import errors
-from primrosecross.domain import request_messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import request_messages
 from primrosecross.ports import peers as peers_port
 from standins import ports
 from tests import test_transport_peers
--- a/tests/test_transport_slow_peer.py
+++ b/tests/test_transport_slow_peer.py
@@ -5,13 +5,13 @@
 
 import gevent
 
-from primrosecross.adapters import peer_connection
-from primrosecross.adapters import peer_inbound
-from primrosecross.adapters import peer_liveness
-from primrosecross.adapters import peer_loss
+from primrosecross.adapters.peers import peer_connection
+from primrosecross.adapters.peers import peer_inbound
+from primrosecross.adapters.peers import peer_liveness
+from primrosecross.adapters.peers import peer_loss
 from primrosecross.domain import errors
-from primrosecross.domain import request_messages
 from primrosecross.domain import stream_messages
+from primrosecross.domain.requests import request_messages
 from primrosecross.ports import peers as peers_port
 from standins import ports
 from tests import test_transport_peers
--- a/tests/test_transport_targets.py
+++ b/tests/test_transport_targets.py
@@ -7,11 +7,11 @@
 from gevent import server as gevent_server
 
 from primrosecross.adapters import boot_clock
-from primrosecross.adapters import target_http
-from primrosecross.domain import body
+from primrosecross.adapters.http import target_http
 from primrosecross.domain import errors
-from primrosecross.domain import outcome
-from primrosecross.domain import request
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import outcome
+from primrosecross.domain.requests import request
 from primrosecross.ports import target as target_port
 from standins import ports
 
--- a/tests/test_transport_tls.py
+++ b/tests/test_transport_tls.py
@@ -14,13 +14,13 @@
 from cryptography.x509 import oid
 
 from primrosecross.adapters import boot_clock
-from primrosecross.adapters import peer_streams
-from primrosecross.adapters import peer_tls
+from primrosecross.adapters.peers import peer_streams
+from primrosecross.adapters.peers import peer_tls
 from primrosecross.domain import errors
-from primrosecross.domain import member_messages
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
+from primrosecross.domain.membership import member_messages
 from standins import ports
 
 NOW = datetime.datetime.now(datetime.UTC)
