Run requests sent ahead at the same time where they may be repeated

Cause: a caller's connection served one request after the other, so that a slow first one held up all behind it until their deadlines passed. Change: a task for each request that was read; up to eight repeatable ones of a connection run at once, answers go out in order; nothing is started behind an answer that will close the connection, and all that was started is answered first.

--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -1,12 +1,16 @@
 """HTTP/1.1 server on gevent's StreamServer, strict about framing.
 
-One task serves each connection; a second one runs the request, so that it can
-be killed when the caller disconnects. A connection that carries an invalid
-request gets the parser's status and is closed.
-
-Source: RFC 9112, sections 2.2, 5, 6.3 and 7; RFC 9110, section 15.
+One task serves each connection: it reads requests and starts a task for each,
+which is killed when the caller disconnects. Requests that a caller sends ahead
+run at the same time if all of them may be repeated; they are answered in the
+order in which they came. A request behind an answer that closes the connection
+is never started. A connection that carries an invalid request gets the parser's
+status and is closed.
+
+Source: RFC 9112, sections 2.2, 5, 6.3, 7 and 9.3.2; RFC 9110, section 15.
 """
 
+import collections
 import contextlib
 import dataclasses
 import http
@@ -17,6 +21,7 @@
 from collections.abc import Iterator
 
 import gevent
+from gevent import event as gevent_event
 from gevent import server as gevent_server
 from gevent import socket as gevent_socket
 
@@ -26,6 +31,7 @@
 RECEIVE_BYTES = 64 * 1024
 CLOSE_DRAIN_S = 0.3
 BACKLOG = 1024
+MAX_AHEAD = 8  # requests of one connection that run or wait for their turn
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
 _logger = logging.getLogger(__name__)
@@ -59,6 +65,8 @@
         handle: Handles one request; its task is killed when the caller
             disconnects.
         limits: Returns the current limits.
+        may_overlap: Returns whether a request may run beside others of its
+            connection.
     """
 
     def __init__(
@@ -69,15 +77,19 @@
         limits: Callable[
             [], http_parser.ServerLimits
         ] = http_parser.ServerLimits,
+        may_overlap: Callable[
+            [http_parser.HttpRequest], bool
+        ] = lambda request: False,
     ) -> None:
-        self._handle = handle
-        self._limits = limits
+        self.handle = handle
+        self.limits = limits
+        self.may_overlap = may_overlap
         self._server = gevent_server.StreamServer(
             listen, self._serve, backlog=BACKLOG
         )
-        self._buffered = http_parser.BufferedBytes()
-        self._idle: set[gevent_socket.socket] = set()
-        self._stopped_reading = False
+        self.buffered = http_parser.BufferedBytes()
+        self.idle: set[gevent_socket.socket] = set()
+        self.stopped_reading = False
         self.in_flight = 0
         self.closing = False
 
@@ -96,75 +108,205 @@
 
     def stop_reading(self) -> None:
         """Stops reading requests; those already read are answered."""
-        self._stopped_reading = self.closing = True
+        self.stopped_reading = self.closing = True
         self._server.close()
-        for sock in list(self._idle):
+        for sock in list(self.idle):
             if sockets.is_idle(sock):
                 sock.shutdown(socket.SHUT_RD)
 
     def _serve(self, sock: gevent_socket.socket, _: object) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        parser = http_parser.RequestParser(self._limits(), self._buffered)
+        connection = _Connection(self, sock)
         try:
-            self._serve_connection(sock, parser)
+            connection.serve()
         except OSError as error:
             _logger.debug("a caller's connection failed: %s", error)
         finally:
-            parser.release()
+            connection.abandon()
             sock.close()
 
-    def _serve_connection(
-        self, sock: gevent_socket.socket, parser: http_parser.RequestParser
-    ) -> None:
-        while True:
-            try:
-                request = self._read_request(sock, parser)
-            except http_parser.RequestRejectedError as error:
-                _logger.info("rejected a request: %s", error)
-                body = f"{error}\n".encode()
-                self._send_reply(
-                    sock, HttpReply(error.status, [], body), close=True
-                )
-                _drain_before_close(sock)
-                return
-            if request is None:
-                return
-            self.in_flight += 1
-            try:
-                keep_open = self._serve_request(sock, parser, request)
-            finally:
-                self.in_flight -= 1
-            if not keep_open:
-                return
-
-    def _serve_request(
-        self,
-        sock: gevent_socket.socket,
-        parser: http_parser.RequestParser,
-        request: http_parser.HttpRequest,
-    ) -> bool:
-        """Answers a request; returns whether the connection stays open."""
-        reply = self._handle_request(sock, request)
-        if reply is None:
-            return False
-        if not parser.complete_requests:
-            parser.release()
-        close = reply.close or self.closing or not request.keep_alive
-        self._send_reply(sock, reply, close=close, method=request.method)
-        return not close
-
-    def _read_request(
-        self, sock: gevent_socket.socket, parser: http_parser.RequestParser
-    ) -> http_parser.HttpRequest | None:
-        """Returns the next request, None if the connection is to be closed."""
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Exchange:
+    """A request that was started, and its reply once it is known."""
+
+    request: http_parser.HttpRequest
+    reply: HttpReply | None = None
+    task: gevent.Greenlet | None = None
+
+
+class _Closed(Exception):  # noqa: N818
+    """Ends the reading of a connection whose last reply was sent."""
+
+
+class _Connection:
+    """One connection from a caller.
+
+    Args:
+        server: The server, with its handler and limits.
+        sock: The connection.
+    """
+
+    def __init__(self, server: HttpServer, sock: gevent_socket.socket) -> None:
+        self._server = server
+        self._sock = sock
+        self._parser = http_parser.RequestParser(
+            server.limits(), server.buffered
+        )
+        self._started: collections.deque[_Exchange] = collections.deque()
+        self._progress = gevent_event.Event()
+        self._reader = gevent.getcurrent()
+        self._last_reply_s = 0.0
+        self._awaits_request = False
+        self._is_reading = False
+        self._is_sending = False
+        self._is_closing = False  # The last reply is being sent.
+        self._is_closed = False
+
+    def serve(self) -> None:
+        """Serves requests until the connection is to be closed."""
+        try:
+            while (request := self._read_request()) is not None:
+                self._await_turn(request)
+                self._start(request)
+                if not request.keep_alive:
+                    self._await_close()
+            if self._server.stopped_reading:
+                self._await_close()
+        except http_parser.RequestRejectedError as error:
+            self._reject(error)
+        except _Closed:
+            if not sockets.is_idle(self._sock):
+                _drain_before_close(self._sock)
+
+    def abandon(self) -> None:
+        """Ends the requests that were started and not answered."""
+        for exchange in self._started:
+            exchange.task.kill(block=False)
+        self._server.in_flight -= len(self._started)
+        self._started.clear()
+        self._parser.release()
+
+    def _await_close(self) -> None:
+        """Waits for the last reply, if any is due; then raises _Closed."""
+        while self._started:
+            self._await_progress()
+        raise _Closed
+
+    def _await_turn(self, request: http_parser.HttpRequest) -> None:
+        """Waits until a request may run; raises _Closed if it never may."""
+        while self._is_closing or not self._may_start(request):
+            self._await_progress()
+
+    def _may_start(self, request: http_parser.HttpRequest) -> bool:
+        """Returns whether a request may run beside those not yet answered.
+
+        During a stop it may not, as the last reply will close the connection.
+        """
+        if not self._started:
+            return True
+        return (
+            len(self._started) < MAX_AHEAD
+            and not self._server.closing
+            and all(
+                self._server.may_overlap(r)
+                for r in (request, *(e.request for e in self._started))
+            )
+        )
+
+    def _await_progress(self) -> None:
+        """Waits for the next reply while the caller stays connected."""
+        if self._is_closed:
+            raise _Closed
+        self._progress.clear()
+        with _called_on_disconnect(self._sock, self._kill_reader):
+            self._progress.wait()
+
+    def _kill_reader(self) -> None:
+        _logger.info("dropped requests whose caller had disconnected")
+        self._reader.kill(block=False)
+
+    def _start(self, request: http_parser.HttpRequest) -> None:
+        if self._is_closed:
+            raise _Closed
+        if sockets.is_closed_by_peer(self._sock):
+            _logger.info("dropped a request whose caller had disconnected")
+            raise _Closed
+        exchange = _Exchange(request)
+        self._started.append(exchange)
+        self._server.in_flight += 1
+        exchange.task = gevent.spawn(self._run, exchange)
+
+    def _run(self, exchange: _Exchange) -> None:
+        """Runs a request and sends all replies that are due."""
+        try:
+            exchange.reply = self._server.handle(exchange.request)
+        except Exception as error:
+            _logger.exception("the request handler raised %r", error)
+            exchange.reply = HttpReply(502, [], b"", close=True)
+        if self._is_sending:
+            return
+        self._is_sending = True
+        try:
+            self._send_due()
+        except OSError as error:
+            _logger.debug("a caller's connection failed: %s", error)
+            self._close()
+        finally:
+            self._is_sending = False
+
+    def _send_due(self) -> None:
+        """Sends the replies at the head of the queue, in order."""
+        while self._started and self._started[0].reply is not None:
+            exchange = self._started[0]
+            # A reply that closes the connection would void those behind it.
+            is_last = len(self._started) == 1
+            close = is_last and (
+                exchange.reply.close
+                or self._server.closing
+                or not exchange.request.keep_alive
+            )
+            self._is_closing = close
+            if is_last and not self._parser.complete_requests:
+                self._parser.release()
+            self._send(
+                exchange.reply, close=close, method=exchange.request.method
+            )
+            self._started.popleft()
+            self._server.in_flight -= 1
+            self._last_reply_s = time.monotonic()
+            self._update_idle()
+            if close:
+                self._close()
+            self._progress.set()
+
+    def _close(self) -> None:
+        self._is_closed = True
+        self._progress.set()
+        if self._is_reading:
+            self._reader.kill(_Closed, block=False)
+
+    def _read_request(self) -> http_parser.HttpRequest | None:
+        """Returns the next request, None at the end of the input."""
+        parser = self._parser
         if parser.complete_requests:
             return parser.complete_requests.pop(0)
         if parser.rejected is not None:
             raise parser.rejected
-        if self._stopped_reading:
+        while self._is_closing:
+            self._await_progress()
+        if self._server.stopped_reading:
             return None
-        parser.limits = limits = self._limits()
-        data = self._receive_first(sock, limits.idle_timeout_ms / 1000)
+        self._is_reading = True
+        try:
+            return self._receive_request()
+        finally:
+            self._is_reading = False
+
+    def _receive_request(self) -> http_parser.HttpRequest | None:
+        parser = self._parser
+        parser.limits = limits = self._server.limits()
+        data = self._receive_first(limits.idle_timeout_ms / 1000)
         head_timeout_s = limits.head_timeout_ms / 1000
         deadline_s = time.monotonic() + head_timeout_s
         share = sockets.LoopShare()
@@ -178,50 +320,52 @@
                 if parser.in_body
                 else deadline_s - time.monotonic()
             )
-            data = _receive_more(sock, max(0.0, remaining_s))
+            data = _receive_more(self._sock, max(0.0, remaining_s))
         return None
 
-    def _receive_first(
-        self, sock: gevent_socket.socket, idle_timeout_s: float
-    ) -> bytes:
-        """Returns the first bytes of a request, empty at the end or timeout."""
-        self._idle.add(sock)
-        try:
-            with gevent.Timeout(idle_timeout_s, False):
-                return sock.recv(RECEIVE_BYTES)
-            return b""
-        finally:
-            self._idle.discard(sock)
+    def _receive_first(self, idle_timeout_s: float) -> bytes:
+        """Returns the first bytes of a request, empty at the end or timeout.
 
-    def _handle_request(
-        self, sock: gevent_socket.socket, request: http_parser.HttpRequest
-    ) -> HttpReply | None:
-        """Returns the reply, None if the caller disconnected before it."""
-        if sockets.is_closed_by_peer(sock):
-            _logger.info("dropped a request whose caller had disconnected")
-            return None
-        task = gevent.spawn(self._handle, request)
+        The connection is idle only from the last reply on.
+        """
+        idle_since_s = time.monotonic()
+        self._awaits_request = True
+        self._update_idle()
         try:
-            with _killed_on_disconnect(sock, task):
-                task.join()
+            while True:
+                idle_since_s = max(idle_since_s, self._last_reply_s)
+                idle_s = time.monotonic() - idle_since_s
+                with gevent.Timeout(max(0.0, idle_timeout_s - idle_s), False):
+                    return self._sock.recv(RECEIVE_BYTES)
+                if self._started:
+                    idle_since_s = time.monotonic()
+                elif self._last_reply_s <= idle_since_s:
+                    return b""
         finally:
-            task.kill(block=False)
-        if isinstance(task.value, HttpReply):
-            return task.value
-        if task.exception is not None:
-            _logger.error(
-                "the request handler raised an exception: %r", task.exception
-            )
-            return HttpReply(502, [], b"", close=True)
-        return None
-
-    def _send_reply(
-        self,
-        sock: gevent_socket.socket,
-        reply: HttpReply,
-        *,
-        close: bool,
-        method: str = "GET",
+            self._awaits_request = False
+            self._update_idle()
+
+    def _update_idle(self) -> None:
+        """Tells the server whether a stop may end the connection now."""
+        if self._awaits_request and not self._started:
+            self._server.idle.add(self._sock)
+        else:
+            self._server.idle.discard(self._sock)
+
+    def _reject(self, error: http_parser.RequestRejectedError) -> None:
+        """Answers an invalid request, after those before it."""
+        _logger.info("rejected a request: %s", error)
+        try:
+            while self._started or self._is_closing:
+                self._await_progress()
+            body = f"{error}\n".encode()
+            self._send(HttpReply(error.status, [], body), close=True)
+        except _Closed:
+            pass
+        _drain_before_close(self._sock)
+
+    def _send(
+        self, reply: HttpReply, *, close: bool, method: str = "GET"
     ) -> None:
         reason = _REASON_PHRASES.get(reply.status, "Status")
         lines = [f"HTTP/1.1 {reply.status} {reason}"]
@@ -231,7 +375,7 @@
         if close:
             lines.append("Connection: close")
         head = "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
-        sock.sendall(head if method == "HEAD" else head + reply.body)
+        self._sock.sendall(head if method == "HEAD" else head + reply.body)
 
 
 def _receive_more(sock: gevent_socket.socket, timeout_s: float) -> bytes:
@@ -244,16 +388,16 @@
 
 
 @contextlib.contextmanager
-def _killed_on_disconnect(
-    sock: gevent_socket.socket, task: gevent.Greenlet
+def _called_on_disconnect(
+    sock: gevent_socket.socket, handle: Callable[[], None]
 ) -> Iterator[None]:
-    """Kills a task when the peer closes the connection."""
+    """Calls a function when the peer closes the connection."""
     watcher = gevent.get_hub().loop.io(sock.fileno(), 1)
 
     def on_readable() -> None:
         watcher.stop()  # Either the next request or end of stream.
         if sockets.is_closed_by_peer(sock):
-            task.kill(block=False)
+            handle()
 
     watcher.start(on_readable)
     try:
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -26,7 +26,6 @@
 from primrosecross.domain.membership import membership
 from primrosecross.domain.operators import events
 from primrosecross.domain.operators import meter as meter_module
-from primrosecross.domain.requests import outcome
 from primrosecross.models import addresses
 from primrosecross.platform import heartbeat_http
 from primrosecross.platform import ingress as ingress_module
@@ -68,7 +67,7 @@
             load=lambda: settings_module.load(path),
             settings=settings,
             live_fields=settings_module.LIVE_FIELDS,
-            apply=self._apply_settings,
+            apply=lambda new: self._node.apply_limits(_node_limits(new)),
         )
         self._clock = clock = boot_clock.BootClock()
         identity = membership.DaemonIdentity(
@@ -134,7 +133,7 @@
             state=self._node.state,
             dispatcher=self._node.dispatcher,
             clock=self._clock,
-            record=self._record,
+            meter=self._meter,
             max_buffered_bytes=settings.memory_bytes
             // BODY_BUFFER_MEMORY_DIVISOR
             or DEFAULT_MAX_BUFFERED_BYTES,
@@ -148,6 +147,7 @@
             listen=addresses.parse(settings.caller_address),
             handle=ingress.handle,
             limits=ingress.limits,
+            may_overlap=ingress.may_overlap,
         )
         self._control_server = http_connection.HttpServer(
             listen=addresses.parse(settings.heartbeat_address),
@@ -161,16 +161,6 @@
             handle=self._handle_ready,
         )
 
-    def _record(
-        self, service: str, result: outcome.Outcome, took_ns: int
-    ) -> None:
-        self._meter.record(
-            service,
-            meter_module.labels_of(result),
-            took_ns=took_ns,
-            now_ns=self._clock.now_ns(),
-        )
-
     def _handle_ready(
         self, http_request: http_parser.HttpRequest
     ) -> http_connection.HttpReply:
@@ -182,11 +172,6 @@
             return http_connection.HttpReply(200, [], self._metrics.text())
         return http_connection.HttpReply(404)
 
-    def _apply_settings(
-        self, settings: settings_module.PlatformSettings
-    ) -> None:
-        self._node.apply_limits(_node_limits(settings))
-
     def start(self) -> None:
         """Starts the servers and all tasks.
 
--- a/primrosecross/platform/ingress.py
+++ b/primrosecross/platform/ingress.py
@@ -4,12 +4,12 @@
 """
 
 import functools
-from collections.abc import Callable
 
 from primrosecross.adapters import outcome_log
 from primrosecross.adapters.http import http_connection
 from primrosecross.adapters.http import http_parser
 from primrosecross.domain.membership import fleet_state
+from primrosecross.domain.operators import meter as meter_module
 from primrosecross.domain.ownership import key_map
 from primrosecross.domain.requests import caller_wait
 from primrosecross.domain.requests import dispatcher as dispatcher_module
@@ -37,7 +37,7 @@
         state: Holds the route plan in force.
         dispatcher: Runs requests.
         clock: Clock that deadlines refer to.
-        record: Records a request's service, outcome and duration in ns.
+        meter: Counts requests by service and outcome.
         max_buffered_bytes: Limit for the buffered bodies of all callers.
     """
 
@@ -48,7 +48,7 @@
         state: fleet_state.FleetState,
         dispatcher: dispatcher_module.Dispatcher,
         clock: clock_port.Clock,
-        record: Callable[[str, outcome.Outcome, int], None],
+        meter: meter_module.Meter,
         max_buffered_bytes: int,
     ) -> None:
         self._max_buffered_bytes = max_buffered_bytes
@@ -56,7 +56,7 @@
         self._state = state
         self._dispatcher = dispatcher
         self._clock = clock
-        self._record = record
+        self._meter = meter
         self._caller_wait = caller_wait.CallerWaitEstimator()
 
     def limits(self) -> http_parser.ServerLimits:
@@ -75,6 +75,12 @@
             max_buffered_bytes=self._max_buffered_bytes,
         )
 
+    def may_overlap(self, http_request: http_parser.HttpRequest) -> bool:
+        """Returns whether a request may run beside others sent ahead."""
+        plan = self._state.plan
+        route = None if plan is None else _match(plan, http_request)
+        return route is not None and route.idempotent
+
     def handle(
         self, http_request: http_parser.HttpRequest
     ) -> http_connection.HttpReply:
@@ -82,8 +88,10 @@
         started_ns = self._clock.now_ns()
         request_id = http_request.get(headers.REQUEST_ID.lower())
         service, result = self._run(http_request, request_id, started_ns)
-        took_ns = self._clock.now_ns() - started_ns
-        self._record(service, result, took_ns)
+        now_ns = self._clock.now_ns()
+        took_ns = now_ns - started_ns
+        labels = meter_module.labels_of(result)
+        self._meter.record(service, labels, took_ns=took_ns, now_ns=now_ns)
         outcome_log.log_outcome(
             request_id, service, result, took_ns // NS_PER_MS
         )
@@ -102,9 +110,7 @@
                 "no route plan has been received yet",
                 RETRY_AFTER_MS,
             )
-        path = http_request.target.partition("?")[0]
-        host = http_request.get("host").lower().partition(":")[0]
-        route = plan.match(host, path)
+        route = _match(plan, http_request)
         if route is None:
             return "", outcome.NotRun(
                 outcome.Reason.UNKNOWN_SERVICE,
@@ -167,6 +173,13 @@
         )
 
 
+def _match(
+    plan: routes.RoutePlan, http_request: http_parser.HttpRequest
+) -> routes.Route | None:
+    path = http_request.target.partition("?")[0]
+    return plan.match(http_request.get("host").lower().partition(":")[0], path)
+
+
 def _is_integer(text: str, maximum: int) -> bool:
     return text.isascii() and text.isdigit() and int(text) <= maximum
 
