Expect a wait for the first free slot, not for the average one

Cause: the expected wait of a request was the remaining work of all slots divided by their number, as if a run were split among them. Change: the expected start is that of a schedule in which each waiter takes the slot that is free first; shedding uses the same. Test: an urgent short request beside a burst of longer ones; failed before.

--- a/primrosecross/domain/requests/slot_queue.py
+++ b/primrosecross/domain/requests/slot_queue.py
@@ -8,6 +8,7 @@
 
 import bisect
 import dataclasses
+import heapq
 import itertools
 import random
 
@@ -124,36 +125,39 @@
 
     def _expected_wait_ms(self, waiter: _Waiter, now_ns: int) -> float:
         """Returns the expected wait of a request."""
-        if len(self._held_slots) < self.slots:
-            return 0.0
-        work_ahead_ms = self._remaining_run_ms(now_ns) + sum(
-            w.expected_run_ms for w in self._waiters if w.rank < waiter.rank
-        )
-        return work_ahead_ms / self.slots
+        free_after_ms = self._free_after_ms(now_ns)
+        for ahead in self._waiters:
+            if ahead.rank < waiter.rank:
+                _run_next(free_after_ms, ahead)
+        return free_after_ms[0]
+
+    def _free_after_ms(self, now_ns: int) -> list[float]:
+        """Returns a heap of the times until each slot is expected to be free.
 
-    def _remaining_run_ms(self, now_ns: int) -> float:
-        """Returns the expected remaining run time of all running requests."""
-        remaining_ms = 0.0
+        A request waits for the first slot, not for the average one: with many
+        slots the first becomes free much sooner than a run takes.
+        """
+        free_after_ms = [0.0] * (self.slots - len(self._held_slots))
         for slot in self._held_slots:
             elapsed_ms = (now_ns - slot.started_ns) / NS_PER_MS
-            remaining_ms += max(
-                slot.expected_run_ms - elapsed_ms, slot.expected_run_ms / 4
+            free_after_ms.append(
+                max(slot.expected_run_ms - elapsed_ms, slot.expected_run_ms / 4)
             )
-        return remaining_ms
+        heapq.heapify(free_after_ms)
+        while len(free_after_ms) > self.slots:  # Their number was reduced.
+            heapq.heappop(free_after_ms)
+        return free_after_ms
 
     def _shed(self, now_ns: int) -> None:
         """Refuses requests that a higher-ranked arrival has made too late."""
-        work_ahead_ms = self._remaining_run_ms(now_ns)
+        free_after_ms = self._free_after_ms(now_ns)
         for waiter in tuple(self._waiters):
             remaining_ms = (waiter.latest_start_ns - now_ns) / NS_PER_MS
-            if (
-                work_ahead_ms / self.slots
-                > SHED_FACTOR * remaining_ms + MIN_WAIT_MS
-            ):
+            if free_after_ms[0] > SHED_FACTOR * remaining_ms + MIN_WAIT_MS:
                 self._waiters.remove(waiter)
                 waiter.decided.set()
             else:
-                work_ahead_ms += waiter.expected_run_ms
+                _run_next(free_after_ms, waiter)
 
     def _update_refused_share(self, refused: float) -> None:
         self._refused_share += REFUSED_SHARE_WEIGHT * (
@@ -213,6 +217,11 @@
             waiter.decided.set()
 
 
+def _run_next(free_after_ms: list[float], waiter: _Waiter) -> None:
+    """Occupies the slot that is free first with a waiting request."""
+    heapq.heapreplace(free_after_ms, free_after_ms[0] + waiter.expected_run_ms)
+
+
 def _objective_ms(req: request.Request) -> int:
     return req.objective_ms or DEFAULT_OBJECTIVE_MS
 
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -71,6 +71,24 @@
         self.assertLessEqual(last_refusal.retry_after_ms, remaining_ms / 3)
         gevent.killall(first)
 
+    def test_an_urgent_short_request_waits_for_the_first_free_slot(self):
+        """Nested calls beside a burst of longer, less urgent requests.
+
+        They have a few tens of ms; refused, they cost the run that needs them.
+        """
+        self.queue.set_slots(9)
+        for _ in range(50):
+            self.times.record(fleet_fakes.make_request(path="/call/x"), 15.0)
+        held = []
+        for _ in range(9):
+            held.append(self._enter(priority=2))
+            self.clock.advance(10)
+        call = self._enter(path="/call/x", priority=1, objective_ms=60)
+        self.assertFalse(call.ready(), call.value)
+        self.queue.release(held[0].get())
+        gevent.sleep(0)
+        self.assertIsInstance(call.value, slot_queue.Slot)
+
     def test_urgent_requests_run_first(self):
         held = [self._enter() for _ in range(2)]
         later = self._enter(priority=2)
