Answer the backlog of a port before a planned stop closes it

What callers saw: connections reset during a planned stop under load, with requests that they had just sent. Change: the backlog is accepted, its first requests are read and answered, then the socket is closed.

--- a/primrosecross/adapters/http/caller_http.py
+++ b/primrosecross/adapters/http/caller_http.py
@@ -14,6 +14,7 @@
 
 from gevent import pool as gevent_pool
 
+from primrosecross.adapters import sockets
 from primrosecross.adapters.http import caller_body
 from primrosecross.adapters.http import caller_connection
 from primrosecross.adapters.http import http_server
@@ -99,7 +100,7 @@
     def stop_listening(self) -> None:
         """Stops accepting connections; open ones are still served."""
         self._stopping = True
-        self._server.close()
+        sockets.close_listener(self._server)
 
     def stop(self) -> None:
         """Stops listening and closes all connections."""
--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -31,6 +31,7 @@
 RECEIVE_BYTES = 64 * 1024
 CLOSE_DRAIN_S = 0.3
 BACKLOG = 1024
+BACKLOG_READ_S = 0.2  # for the first request on a connection found in a stop
 MAX_AHEAD = 8  # requests of one connection that run or wait for their turn
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
@@ -107,9 +108,12 @@
         self._server.close()
 
     def stop_reading(self) -> None:
-        """Stops reading requests; those already read are answered."""
+        """Stops reading requests; those already read are answered.
+
+        So is the first request of a connection found in the backlog.
+        """
         self.stopped_reading = self.closing = True
-        self._server.close()
+        sockets.close_listener(self._server)
         for sock in list(self.idle):
             if sockets.is_idle(sock):
                 sock.shutdown(socket.SHUT_RD)
@@ -157,6 +161,7 @@
         self._progress = gevent_event.Event()
         self._reader = gevent.getcurrent()
         self._last_reply_s = 0.0
+        self._has_started = False
         self._awaits_request = False
         self._is_reading = False
         self._is_sending = False
@@ -232,6 +237,7 @@
         if sockets.is_closed_by_peer(self._sock):
             _logger.info("dropped a request whose caller had disconnected")
             raise _Closed
+        self._has_started = True
         exchange = _Exchange(request)
         self._started.append(exchange)
         self._server.in_flight += 1
@@ -295,7 +301,7 @@
             raise parser.rejected
         while self._is_closing:
             self._await_progress()
-        if self._server.stopped_reading:
+        if self._server.stopped_reading and self._has_started:
             return None
         self._is_reading = True
         try:
@@ -306,7 +312,10 @@
     def _receive_request(self) -> http_parser.HttpRequest | None:
         parser = self._parser
         parser.limits = limits = self._server.limits()
-        data = self._receive_first(limits.idle_timeout_ms / 1000)
+        idle_timeout_s = limits.idle_timeout_ms / 1000
+        if self._server.stopped_reading:
+            idle_timeout_s = BACKLOG_READ_S
+        data = self._receive_first(idle_timeout_s)
         head_timeout_s = limits.head_timeout_ms / 1000
         deadline_s = time.monotonic() + head_timeout_s
         share = sockets.LoopShare()
--- a/primrosecross/adapters/sockets.py
+++ b/primrosecross/adapters/sockets.py
@@ -6,6 +6,7 @@
 import termios
 
 import gevent
+from gevent import server as gevent_server
 from gevent import socket as gevent_socket
 
 YIELD_BYTES = 256 * 1024
@@ -49,6 +50,18 @@
         return False
 
 
+def close_listener(server: gevent_server.StreamServer) -> None:
+    """Stops listening, and accepts the connections in the backlog before.
+
+    The system has accepted them for the server, and closing the listening
+    socket would reset them.
+    """
+    server.stop_accepting()
+    while not server.full() and (accepted := server.do_read()):
+        server.do_handle(*accepted)
+    server.close()
+
+
 def unacknowledged_bytes(sock: gevent_socket.socket) -> int | None:
     """Returns the bytes sent that the peer's host did not acknowledge.
 
