--- a/primrosecross/domain/ownership/target_watch.py
+++ b/primrosecross/domain/ownership/target_watch.py
@@ -5,17 +5,17 @@
 import logging
 from collections.abc import Callable
 
+from primrosecross.domain.ownership import heartbeat_order
 from primrosecross.domain.ownership import key_map as key_map_module
 from primrosecross.domain.ownership import local_target as local_target_module
+from primrosecross.domain.ownership import own_ranges
 from primrosecross.domain.ownership import proof as proof_module
 from primrosecross.domain.ownership import (
     target_heartbeat as target_heartbeat_module,
 )
 from primrosecross.ports import clock as clock_port
 
-SILENT_AFTER_MS = 3000  # heartbeats may come seconds late
 MIN_REFUSAL_GAP_MS = 20
-MIN_EARLIER_HEARTBEATS = 3  # one or two may have been delayed in transit
 MAX_GRANTS = 80  # fits into an answer of 4 KiB
 MIN_HOLD_MS = 200
 MAX_TOKENS = 256
@@ -58,7 +58,7 @@
         self._clock = clock
         self._on_change = on_change
         self._first_refusal_ns = 0
-        self._earlier_start_streak = ("", 0, 0)
+        self._order = heartbeat_order.HeartbeatOrder(clock=clock)
         # Grants of an earlier process of this daemon last no longer than this.
         self._earlier_process_expiry_ns = (
             clock.now_ns() + max_hold_ms * _NS_PER_MS
@@ -67,7 +67,7 @@
         self._earlier_doubts_expiry_ns = clock.now_ns() + int(
             proof_module.LEASE_MS * (1 + proof_module.DRIFT_SHARE) * _NS_PER_MS
         )
-        self._own_ranges: _OwnRanges | None = None
+        self._own_ranges: own_ranges.OwnRanges | None = None
         self.local_target: local_target_module.LocalTarget | None = None
         # Keys that requests wait for, with the number of these requests.
         self.awaited_keys: collections.Counter[int] = collections.Counter()
@@ -81,8 +81,10 @@
     ) -> target_heartbeat_module.HeartbeatAnswer:
         """Records a heartbeat and returns the target's grants."""
         target = self.local_target
-        if target is not None and _is_stale(heartbeat, target.last_heartbeat):
-            if not self._supersedes(heartbeat, target):
+        if target is not None and heartbeat_order.is_stale(
+            heartbeat, target.last_heartbeat
+        ):
+            if not self._order.supersedes(heartbeat, target):
                 _logger.info(
                     "ignored a stale heartbeat of target %s",
                     heartbeat.incarnation_id,
@@ -162,26 +164,17 @@
             if r.generation > target.forfeited_version
         ], hold_ms
 
-    def _current_ranges(self) -> "_OwnRanges":
+    def _current_ranges(self) -> own_ranges.OwnRanges:
         """Returns the target's ranges in the map in force."""
         key_map = self._key_map()
-        incarnation_id = self.local_target.last_heartbeat.incarnation_id
-        own = self._own_ranges
-        if (
-            own is None
-            or own.key_map is not key_map
-            or own.incarnation_id != incarnation_id
+        heartbeat = self.local_target.last_heartbeat
+        if self._own_ranges is None or not self._own_ranges.is_current(
+            key_map, heartbeat.incarnation_id
         ):
-            table = key_map.tables.get(self.local_target.last_heartbeat.service)
-            ranges = table.held_by(incarnation_id) if table is not None else []
-            no_holder = key_map_module.NO_HOLDER
-            own = self._own_ranges = _OwnRanges(
-                key_map,
-                incarnation_id,
-                kept=[r for r in ranges if r.receiver == no_holder],
-                moving=[r for r in ranges if r.receiver != no_holder],
+            self._own_ranges = own_ranges.of(
+                key_map, heartbeat.service, heartbeat.incarnation_id
             )
-        return own
+        return self._own_ranges
 
     def _released_ranges(
         self, target: local_target_module.LocalTarget
@@ -194,49 +187,14 @@
         target.tokens = (target.tokens + list(target.last_heartbeat.released))[
             -MAX_TOKENS:
         ]
-        table = self._key_map().tables.get(target.last_heartbeat.service)
-        if table is None:
-            return ()
         return tuple(
             dataclasses.replace(r, token=_token_for(r, target.tokens))
-            for r in table.held_by(target.last_heartbeat.incarnation_id)
-            if r.receiver != key_map_module.NO_HOLDER
-            and not any(
+            for r in self.moving_ranges()
+            if not any(
                 r.overlaps(h.first, h.last) for h in target.last_heartbeat.held
             )
         )
 
-    def _supersedes(
-        self,
-        heartbeat: target_heartbeat_module.TargetHeartbeat,
-        target: local_target_module.LocalTarget,
-    ) -> bool:
-        """Returns whether an incarnation that started earlier is the newer one.
-
-        After the wall clock was set back, a new incarnation has an earlier
-        start time than the one before it. It counts as newer once it sends
-        MIN_EARLIER_HEARTBEATS in a row while the other is silent.
-        """
-        incarnation_id, sequence, count = self._earlier_start_streak
-        is_next = (
-            incarnation_id == heartbeat.incarnation_id
-            and heartbeat.sequence > sequence
-        )
-        count = count + 1 if is_next else 1
-        self._earlier_start_streak = (
-            heartbeat.incarnation_id,
-            heartbeat.sequence,
-            count,
-        )
-        silent_ms = (
-            self._clock.now_ns() - target.last_heartbeat_ns
-        ) / _NS_PER_MS
-        return (
-            heartbeat.incarnation_id != target.last_heartbeat.incarnation_id
-            and count >= MIN_EARLIER_HEARTBEATS
-            and silent_ms > SILENT_AFTER_MS
-        )
-
     def _start_incarnation(
         self, heartbeat: target_heartbeat_module.TargetHeartbeat
     ) -> local_target_module.LocalTarget:
@@ -353,7 +311,10 @@
             return
         last_sign_ns = max(target.last_heartbeat_ns, target.answer_ns)
         silent_ms = (now_ns - last_sign_ns) / _NS_PER_MS
-        if target.state is _State.READY and silent_ms > SILENT_AFTER_MS:
+        if (
+            target.state is _State.READY
+            and silent_ms > heartbeat_order.SILENT_AFTER_MS
+        ):
             _logger.warning(
                 "target %s has given no sign of life for %d ms",
                 target.last_heartbeat.incarnation_id,
@@ -395,23 +356,6 @@
         return True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _OwnRanges:
-    """Ranges of one incarnation in one map.
-
-    Attributes:
-        key_map: The map.
-        incarnation_id: The incarnation.
-        kept: Ranges that it keeps.
-        moving: Ranges that it is to release.
-    """
-
-    key_map: key_map_module.KeyMap
-    incarnation_id: str
-    kept: list[key_map_module.KeyRange]
-    moving: list[key_map_module.KeyRange]
-
-
 def _covers(
     grants: tuple[target_heartbeat_module.GrantedRange, ...], key: int
 ) -> bool:
@@ -437,16 +381,3 @@
         holder is not None
         and holder.state is key_map_module.HolderState.REVOKING
     )
-
-
-def _is_stale(
-    new: target_heartbeat_module.TargetHeartbeat,
-    last: target_heartbeat_module.TargetHeartbeat,
-) -> bool:
-    """Returns whether a heartbeat is older than the last one recorded."""
-    if new.born_ms != last.born_ms:
-        return new.born_ms < last.born_ms
-    return (
-        new.incarnation_id == last.incarnation_id
-        and new.sequence <= last.sequence
-    )
