--- a/primrosecross/platform/key_calls.py
+++ b/primrosecross/platform/key_calls.py
@@ -13,14 +13,10 @@
 
 
 class _Order(msgspec.Struct, rename="pascal", omit_defaults=True):
-    """Body of a call.
-
-    Attributes:
-        target_version: Last key, in spite of its name on the wire.
-    """
+    """Body of a call."""
 
     from_: int = msgspec.field(name="From")
-    target_version: int
+    target_version: int  # the last key, in spite of its name
     fence: int = msgspec.field(name="fence")
     hold_ms: int = 0
     handover: str = ""
--- a/primrosecross/platform/plan.py
+++ b/primrosecross/platform/plan.py
@@ -3,6 +3,7 @@
 Source: PROTOCOL.md, "The operator's API" and "Ingress".
 """
 
+import logging
 import zlib
 
 import msgspec
@@ -20,6 +21,7 @@
 DEFAULT_TIMEOUT_MS = 5000.0
 COMPRESSION_LEVEL = 1  # names repeat, so higher levels gain little
 MAX_PLAN_BYTES = 32 << 20  # several hundred thousand routes
+_logger = logging.getLogger(__name__)
 _GRANT_WAYS = {way.value: way for way in routes.GrantWay}
 
 
@@ -144,7 +146,7 @@
             c.name: routes.RoutedService(
                 name=c.name,
                 keyed=c.sharded,
-                grant_way=_GRANT_WAYS.get(c.grants),
+                grant_way=_to_grant_way(c),
             )
             for c in config.clusters
         },
@@ -157,6 +159,13 @@
     )
 
 
+def _to_grant_way(cluster: _Cluster) -> routes.GrantWay | None:
+    way = _GRANT_WAYS.get(cluster.grants)
+    if cluster.grants and way is None:
+        _logger.warning("unknown way to grant keys: %.40s", cluster.grants)
+    return way
+
+
 def _to_route(host: str, rule: _Rule) -> routes.Route:
     action = rule.action
     shares = tuple(
