Refuse a request after one try if all targets have just refused such ones

Change: after a refusal for overload, another target is tried only if one is left that is not in a backoff. Test: overload of all targets; failed before with six tries in place of four. Not measured yet.

--- a/primrosecross/domain/requests/dispatcher.py
+++ b/primrosecross/domain/requests/dispatcher.py
@@ -331,10 +331,16 @@
             history.runs += 1
             return step if history.runs < max_run_attempts else _NextStep.RETURN
         if step is _NextStep.ELSEWHERE:
-            vms_tried = len(history.tried | {vm})
-            return (
-                step if vms_tried < MAX_VMS_TRIED and vm else _NextStep.RETURN
-            )
+            tried = frozenset(history.tried | {vm})
+            may_try_another = len(tried) < MAX_VMS_TRIED and vm
+            if result.reason is outcome.Reason.OVERLOADED:
+                # Targets in a backoff have just refused such requests, too.
+                may_try_another = may_try_another and (
+                    self._balancer.has_available(
+                        self._state.entries, req.service, avoid=tried
+                    )
+                )
+            return step if may_try_another else _NextStep.RETURN
         if step is _NextStep.FOLLOW_KEY and req.key:
             before_limit = self._clock.now_ns() < history.follow_until_ns
             may_become_available = before_limit and self._may_become_available(
--- a/primrosecross/domain/requests/target_balancer.py
+++ b/primrosecross/domain/requests/target_balancer.py
@@ -65,20 +65,10 @@
             avoid: VMs already tried.
             size_bytes: Size of the request's body.
         """
-        candidates = [
-            e
-            for e in entries.values()
-            if e.service == service and e.state == _READY and e.vm not in avoid
-        ]
+        candidates = _candidates(entries, service, avoid)
         if not candidates:
             return ""
-        now_ns = self._clock.now_ns()
-        available = [
-            e
-            for e in candidates
-            if self._stats_of(e.vm).backoff_until_ns <= now_ns
-        ]
-        eligible = available or candidates
+        eligible = self._available(candidates) or candidates
         sampled = random.sample(eligible, min(2, len(eligible)))
         same_zone = [e for e in eligible if e.place == self._place]
         if same_zone:
@@ -92,6 +82,26 @@
             self._back_off(stats, self._backoff_ms(stats))
         return chosen
 
+    def has_available(
+        self,
+        entries: dict[str, fleet_messages.VmEntry],
+        service: str,
+        *,
+        avoid: frozenset[str],
+    ) -> bool:
+        """Returns whether a target is left that is not in a backoff."""
+        return bool(self._available(_candidates(entries, service, avoid)))
+
+    def _available(
+        self, candidates: list[fleet_messages.VmEntry]
+    ) -> list[fleet_messages.VmEntry]:
+        now_ns = self._clock.now_ns()
+        return [
+            e
+            for e in candidates
+            if self._stats_of(e.vm).backoff_until_ns <= now_ns
+        ]
+
     def _stats_of(self, vm: str) -> _TargetStats:
         return self._stats.setdefault(vm, _TargetStats())
 
@@ -132,3 +142,15 @@
         elif not isinstance(result, outcome.Answered):
             stats.failures += 1
             self._back_off(stats, self._backoff_ms(stats))
+
+
+def _candidates(
+    entries: dict[str, fleet_messages.VmEntry],
+    service: str,
+    avoid: frozenset[str],
+) -> list[fleet_messages.VmEntry]:
+    return [
+        e
+        for e in entries.values()
+        if e.service == service and e.state == _READY and e.vm not in avoid
+    ]
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -145,6 +145,19 @@
         self.assertEqual(result.reason, outcome.Reason.OVERLOADED)
         self.assertEqual(sorted(self._forwards()), ["b", "c"])
 
+    def test_overload_of_all_targets_refuses_a_request_after_one_try(self):
+        """Overload (burst): every target has just refused such requests."""
+        self._update_entries(_entry("b"), _entry("c"), _entry("d"))
+        refuse = functools.partial(_not_run, reason=outcome.Reason.OVERLOADED)
+        self.peers.handlers = dict.fromkeys("bcd", refuse)
+        self._run()
+        self.assertEqual(len(self.peers.sent), 3)
+        self._run()
+        self.assertEqual(len(self.peers.sent), 4)
+        self.clock.advance(1000)
+        self._run()
+        self.assertEqual(len(self.peers.sent), 7)
+
     def test_a_lost_answer_is_retried_only_if_idempotent(self):
         self._update_entries(_entry("b"), _entry("c"))
         self.peers.handlers["b"] = self.peers.handlers["c"] = _lost
