End the answer to HEAD with its head

What callers saw: a HEAD request on the platform ran into its time limit if the target named the length that a GET would have. Cause: the response parser does not know the request's method and waits for a body. Test: failed before, after its 500 ms.

--- a/primrosecross/adapters/http/http_client.py
+++ b/primrosecross/adapters/http/http_client.py
@@ -69,6 +69,7 @@
         ] = lambda response: True,
         new_connection: bool = False,
         ends_at_line: bool = False,
+        ends_at_head: bool = False,
     ) -> http_response.HttpResponse:
         """Sends a request and returns the complete response.
 
@@ -83,6 +84,7 @@
             new_connection: Whether to open a connection for this request.
             ends_at_line: Whether to return once the body has a complete line,
                 with that line only.
+            ends_at_head: Whether the response has no body, as to HEAD.
 
         Raises:
             errors.ServerRefusedError: Nothing listens at the address.
@@ -98,6 +100,7 @@
                 reused=sock is not None,
                 budget=self._budget,
                 ends_at_line=ends_at_line,
+                ends_at_head=ends_at_head,
             )
             return self._exchange(sock, head, body, parser, allows_reuse)
         raise errors.ResponseLostError(
--- a/primrosecross/adapters/http/http_response.py
+++ b/primrosecross/adapters/http/http_response.py
@@ -85,8 +85,10 @@
         reused: bool,
         budget: BodyBudget,
         ends_at_line: bool = False,
+        ends_at_head: bool = False,
     ) -> None:
         self._ends_at_line = ends_at_line
+        self._ends_at_head = ends_at_head
         self._budget = budget
         self.response = HttpResponse(is_first=not reused)
         self.complete = False
@@ -145,9 +147,19 @@
             response.get("content-length")
         )
         length = response.get("content-length")
-        if length.isdigit() and int(length) > MAX_BODY_BYTES:
+        if self._ends_at_head:
+            self._complete_at_head()
+        elif length.isdigit() and int(length) > MAX_BODY_BYTES:
             raise ValueError("the response body is too long")
 
+    def _complete_at_head(self) -> None:
+        """Completes the response to a HEAD request, whose length is no body's.
+
+        The connection is not reused, as the parser expects a body.
+        """
+        if self.response.status >= 200 and self._matches_request(self.response):
+            self.complete = self.has_excess = True
+
     def on_body(self, piece: bytes) -> None:
         """Handles a part of the body; raises ValueError."""
         if self.complete:
--- a/primrosecross/platform/targets.py
+++ b/primrosecross/platform/targets.py
@@ -92,6 +92,7 @@
                 matches_request=lambda r: self._echo.matches(r, req.request_id),
                 allows_reuse=self._echo.has_id,
                 new_connection=self._echo.was_refused(req.request_id),
+                ends_at_head=req.method == "HEAD",
             )
         except errors.ServerRefusedError as error:
             return outcome.NotRun(outcome.Reason.NO_TARGET, error.problem, 1000)
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -206,6 +206,38 @@
                     self.assertIsInstance(result, outcome.Unknown)
 
 
+class HeadTest(unittest.TestCase):
+    """A platform's target that answers HEAD with the length of a GET."""
+
+    # The request ran into its time limit, waiting for the body.
+    def test_answer_to_head_ends_with_its_head(self):
+        target = _CuttingTarget()
+        self.addCleanup(target.server.close)
+        target.response = PlatformTest.HEADS[0] + b"Content-Length: 14\r\n\r\n"
+        target.end = "stall"
+        clock = boot_clock.BootClock()
+        req = request.Request(
+            request_id="r1",
+            service="s",
+            key="",
+            method="HEAD",
+            path="/x",
+            headers=(("Request-Id", "r1"),),
+            body=b"",
+            idempotent=True,
+            deadline_ns=clock.now_ns() + 500 * 1_000_000,
+        )
+        result = platform_targets.PlatformTargets(clock=clock).run(
+            target_port.Announcement(
+                "s", f"127.0.0.1:{target.server.server_port}", 4, True
+            ),
+            req,
+            target_port.Fence(1, 1),
+        )
+        self.assertIsInstance(result, outcome.Answered)
+        self.assertEqual((result.status, result.body), (200, b""))
+
+
 class ProductTest(PlatformTest):
     """Targets of the product's own daemon."""
 
