Suspect a new incarnation of holding a grant that was in flight

Cause: a grant that is in flight when a target restarts under its address may be answered by the new incarnation; its result was recorded for the old one only. Change: the new incarnation is asked to release everything first, and the grant counts as in doubt there. Test: failed before.

--- a/primrosecross/domain/ownership/grant_caller.py
+++ b/primrosecross/domain/ownership/grant_caller.py
@@ -123,6 +123,16 @@
         """Records the result of a call to an incarnation of the target."""
         self._releasing.discard(order)
         self._record(result, order, target, sent_ns)
+        successor = self._watch.local_target
+        if successor is not target and isinstance(order, key_calls.GrantCall):
+            self._suspect_of(successor, order)
+
+    def _suspect_of(
+        self, successor: local_target.LocalTarget, order: key_calls.GrantCall
+    ) -> None:
+        """Records that a grant may have reached the next incarnation."""
+        successor.ledger.record_doubt(order, closed_ns=self._clock.now_ns())
+        successor.must_clear = True
 
     def next_order(self) -> key_calls.KeyCall | None:
         """Returns the most urgent call, None if none is due."""
--- a/tests/test_called_grants.py
+++ b/tests/test_called_grants.py
@@ -228,6 +228,25 @@
         self.assertEqual(clear, key_calls.ReleaseCall(0, _LAST, 3))
         self.assertEqual(grant.generation, 6)
 
+    def test_grant_in_flight_at_a_restart_is_suspected_of_the_new_one(self):
+        """The new incarnation may have got it before its first heartbeat."""
+        order = self.caller.next_order()
+        earlier = self.watch.local_target
+        self.sequence = 0
+        self._beat(born_ms=2000)
+        self.assertFalse(self.watch.local_target.must_clear)
+        self.caller.record(
+            key_calls.Done("", 1), order, earlier, self.clock.now_ns()
+        )
+        self._set_ranges(key_map.KeyRange(0, 99, "i-1@2000", 6))
+        clear, _ = self._send_due()
+        self.assertIsInstance(clear, key_calls.ReleaseCall)
+        self._set_ranges(
+            key_map.KeyRange(0, 49, "i-1@2000", 6, receiver="i-2@1000")
+        )
+        self._send_due()
+        self.assertEqual(self._released(), [])
+
     def test_first_incarnation_is_not_asked_to_release_everything(self):
         (order,) = self._send_due()
         self.assertIsInstance(order, key_calls.GrantCall)
