Play orders carried out late in the soak, with every even seed

Even seeds grant keys by calls; targets leave a share of them unanswered and carry them out up to 8 s later.

--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -32,7 +32,8 @@
     """Runs callers against a fleet while injecting random faults.
 
     Args:
-        seed: Seed of the faults and their times.
+        seed: Seed of the faults and their times. With an even one, keys are
+            granted by calls, some of which are carried out late.
         length_s: Duration of fault injection.
         vms: Number of VMs.
     """
@@ -52,6 +53,7 @@
             services=services,
             directory=self.directory,
             through_proxy=self._add_proxy,
+            grants="heartbeat" if seed % 2 else "call",
         )
 
     def _add_proxy(self, port: int) -> int:
@@ -148,7 +150,7 @@
 
     def _inject_faults(self) -> None:
         """Injects random faults until the run ends."""
-        injectors = (
+        injectors = [
             self._kill_daemon,
             self._kill_worker,
             self._kill_vm,
@@ -157,7 +159,9 @@
             self._disrupt_link,
             self._disrupt_store,
             self._change_config,
-        )
+        ]
+        if self._seed % 2 == 0:
+            injectors.append(self._delay_key_calls)
         version = 1
         while not self._ended:
             gevent.sleep(self._random.uniform(0.1, 2.5))
@@ -242,6 +246,16 @@
     def _set_faults(self, faults: dict[str, object]) -> None:
         self._call_store("POST", "/standin/faults", faults)
 
+    def _delay_key_calls(self, sidecar: sidecars.Sidecar, _: int) -> None:
+        """Lets a target carry out orders late and without an answer."""
+        share = self._random.choice((0.3, 0.6))
+        delay_ms = self._random.choice((500, 2500, 8000))
+        end_s = self._random.uniform(0.5, 5.0)
+        with contextlib.suppress(OSError):  # It may be down.
+            self._fleet.delay_key_calls(sidecar, share=share, delay_ms=delay_ms)
+            gevent.sleep(end_s)
+            self._fleet.delay_key_calls(sidecar, share=0.0, delay_ms=0)
+
     def _change_config(self, _: sidecars.Sidecar, version: int) -> None:
         document = {
             "Metadata": {"Name": "main"},
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -133,6 +133,11 @@
     """One short run."""
 
     def test_short_run_violates_no_guarantee(self):
-        soak_run = scenario.Scenario(seed=1, length_s=6.0, vms=4)
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                self._play(seed)
+
+    def _play(self, seed: int) -> None:
+        soak_run = scenario.Scenario(seed=seed, length_s=6.0, vms=4)
         self.assertEqual(soak_run.execute(), [], soak_run.directory)
         shutil.rmtree(soak_run.directory)
