Use daemons about to stop, and serve keys in doubt until the doubt ends

Change: a VM whose daemon stops is tried when all others are in a backoff; holds by call last 4 s at most, and a range in doubt is served, not renewed, and released once the doubt has ended.

--- a/primrosecross/domain/membership/directory.py
+++ b/primrosecross/domain/membership/directory.py
@@ -6,12 +6,14 @@
 from primrosecross.domain.membership import fleet_messages
 from primrosecross.domain.membership import fleet_state
 from primrosecross.domain.ownership import range_decisions
+from primrosecross.domain.ownership import target_heartbeat
 from primrosecross.ports import clock as clock_port
 
 LOST_AFTER_MS = 1500  # more than three report intervals
 WARM_UP_MS = 3000  # covers the first heartbeat of a restarted daemon's target
 REMOVE_AFTER_MS = 30_000
 LOST = "lost"  # state of an entry whose daemon stopped reporting
+STOPPING = "stopping"  # a ready target whose daemon is about to stop
 _NS_PER_MS = 1_000_000
 
 _logger = logging.getLogger(__name__)
@@ -141,7 +143,8 @@
     target = sync.targets[0] if sync.targets else None
     state = "" if target is None else target.state
     if sync.stopping:
-        state = "draining"
+        is_ready = state == target_heartbeat.TargetState.READY.value
+        state = STOPPING if is_ready else state
     return fleet_messages.VmEntry(
         vm=sync.vm,
         place=sync.place,
--- a/primrosecross/domain/ownership/grant_caller.py
+++ b/primrosecross/domain/ownership/grant_caller.py
@@ -156,7 +156,11 @@
     def _orders(
         self, target: local_target.LocalTarget
     ) -> list[key_calls.KeyCall]:
-        """Returns all calls that are needed, the most urgent ones first."""
+        """Returns all calls that are needed, the most urgent ones first.
+
+        Moving keys are not renewed. While a grant of theirs is in doubt they
+        are not released either, as nobody else could serve them yet.
+        """
         now_ns = self._clock.now_ns()
         allowed, hold_ms = self._watch.allowed_grants()
         renewed_ns = {r: target.ledger.renewed_ns(r, now_ns) for r in allowed}
@@ -173,7 +177,7 @@
         releases = [
             key_calls.ReleaseCall(r.first, r.last, r.generation)
             for r in self._watch.moving_ranges()
-            if not target.ledger.is_released(r)
+            if not (target.ledger.is_released(r) or self._watch.is_in_doubt(r))
         ]
         return [
             *(_to_grant(r, hold_ms) for r in missing),
--- a/primrosecross/domain/ownership/grant_ledger.py
+++ b/primrosecross/domain/ownership/grant_ledger.py
@@ -69,7 +69,7 @@
                 grant.generation,
                 renewed_ns=sent_ns,
                 held_until_ns=sent_ns + grant.hold_ms * _NS_PER_MS,
-                expiry_ns=answered_ns + _longest_ns(grant.hold_ms),
+                expiry_ns=answered_ns + longest_ns(grant.hold_ms),
             )
         )
 
@@ -84,7 +84,7 @@
                 later.
         """
         self._doubts = [d for d in self._doubts if d.expiry_ns > closed_ns]
-        expiry_ns = closed_ns + _longest_ns(grant.hold_ms)
+        expiry_ns = closed_ns + longest_ns(grant.hold_ms)
         self._doubts.append(_Doubt(grant.first, grant.last, expiry_ns))
 
     def record_release(self, first: int, last: int, generation: int) -> None:
@@ -177,7 +177,7 @@
         )
 
 
-def _longest_ns(hold_ms: int) -> int:
+def longest_ns(hold_ms: int) -> int:
     """Returns the longest duration of a hold by a clock that runs slow."""
     longest_ms = hold_ms * (1 + proof.DRIFT_SHARE) + DOUBT_MARGIN_MS
     return int(longest_ms * _NS_PER_MS)
--- a/primrosecross/domain/ownership/target_watch.py
+++ b/primrosecross/domain/ownership/target_watch.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from primrosecross.domain.ownership import grant_ledger
 from primrosecross.domain.ownership import heartbeat_order
 from primrosecross.domain.ownership import key_map as key_map_module
 from primrosecross.domain.ownership import local_target as local_target_module
@@ -21,6 +22,8 @@
 MAX_TOKENS = 256
 ASSUMED_DRAIN_AGE_NS = 3_600_000_000_000  # longer than any drain
 GRANT_APPLY_MS = 20  # from the answer until the target applies it
+# Outlasts a restart of the daemon; a doubt about a grant lasts as long.
+MAX_CALL_HOLD_MS = 4000
 CALL_MARGIN_MS = 300  # a call arrives this much after it was sent at most
 _NS_PER_MS = proof_module.NS_PER_MS
 _State = target_heartbeat_module.TargetState
@@ -64,8 +67,8 @@
             clock.now_ns() + max_hold_ms * _NS_PER_MS
         )
         # Grants of such a process that got no answer may be applied until then.
-        self._earlier_doubts_expiry_ns = clock.now_ns() + int(
-            proof_module.LEASE_MS * (1 + proof_module.DRIFT_SHARE) * _NS_PER_MS
+        self._earlier_doubts_expiry_ns = (
+            clock.now_ns() + grant_ledger.longest_ns(MAX_CALL_HOLD_MS)
         )
         self._own_ranges: own_ranges.OwnRanges | None = None
         self.local_target: local_target_module.LocalTarget | None = None
@@ -131,16 +134,22 @@
         A grant without an answer may be applied after a release, also one by
         an earlier process of this daemon.
         """
-        now_ns = self._clock.now_ns()
         moving = self.moving_ranges()
         target.ledger.drop_releases(moving)
-        if now_ns < self._earlier_doubts_expiry_ns:
-            return ()
         return tuple(
             dataclasses.replace(r, token=_token_for(r, target.tokens))
             for r in moving
-            if target.ledger.is_released(r)
-            and not target.ledger.is_in_doubt(r.first, r.last, now_ns)
+            if target.ledger.is_released(r) and not self.is_in_doubt(r)
+        )
+
+    def is_in_doubt(self, key_range: key_map_module.KeyRange) -> bool:
+        """Returns whether a grant without an answer may still have effect."""
+        now_ns = self._clock.now_ns()
+        return (
+            now_ns < self._earlier_doubts_expiry_ns
+            or self.local_target.ledger.is_in_doubt(
+                key_range.first, key_range.last, now_ns
+            )
         )
 
     def moving_ranges(self) -> list[key_map_module.KeyRange]:
@@ -151,7 +160,9 @@
         """Returns the ranges that a call may grant, and for how many ms."""
         target = self.local_target
         hold_ms = min(
-            self._lease.remaining_ms() - CALL_MARGIN_MS, self.max_hold_ms
+            self._lease.remaining_ms() - CALL_MARGIN_MS,
+            self.max_hold_ms,
+            MAX_CALL_HOLD_MS,
         )
         holder = self._key_map().holders.get(
             target.last_heartbeat.incarnation_id
--- a/primrosecross/domain/requests/target_balancer.py
+++ b/primrosecross/domain/requests/target_balancer.py
@@ -8,6 +8,7 @@
 import dataclasses
 import random
 
+from primrosecross.domain.membership import directory
 from primrosecross.domain.membership import fleet_messages
 from primrosecross.domain.requests import outcome
 from primrosecross.ports import clock as clock_port
@@ -59,6 +60,9 @@
     ) -> str:
         """Returns a VM with a ready target of the service, "" if there is none.
 
+        A stopping daemon still accepts requests for about 2 s; it gets them if
+        all other targets are in a backoff.
+
         Args:
             entries: Known VMs, by name.
             service: Name of the service.
@@ -66,9 +70,15 @@
             size_bytes: Size of the request's body.
         """
         candidates = _candidates(entries, service, avoid)
-        if not candidates:
+        eligible = (
+            self._available(candidates)
+            or self._available(
+                _candidates(entries, service, avoid, directory.STOPPING)
+            )
+            or candidates
+        )
+        if not eligible:
             return ""
-        eligible = self._available(candidates) or candidates
         sampled = random.sample(eligible, min(2, len(eligible)))
         same_zone = [e for e in eligible if e.place == self._place]
         if same_zone:
@@ -90,7 +100,10 @@
         avoid: frozenset[str],
     ) -> bool:
         """Returns whether a target is left that is not in a backoff."""
-        return bool(self._available(_candidates(entries, service, avoid)))
+        return any(
+            self._available(_candidates(entries, service, avoid, state))
+            for state in (_READY, directory.STOPPING)
+        )
 
     def _available(
         self, candidates: list[fleet_messages.VmEntry]
@@ -148,9 +161,10 @@
     entries: dict[str, fleet_messages.VmEntry],
     service: str,
     avoid: frozenset[str],
+    state: str = _READY,
 ) -> list[fleet_messages.VmEntry]:
     return [
         e
         for e in entries.values()
-        if e.service == service and e.state == _READY and e.vm not in avoid
+        if e.service == service and e.state == state and e.vm not in avoid
     ]
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -158,6 +158,21 @@
         self._run()
         self.assertEqual(len(self.peers.sent), 7)
 
+    def test_a_stopping_daemon_takes_what_overloads_the_others(self):
+        """A roll of all VMs: those about to stop can still serve for 2 s."""
+        self._update_entries(_entry("b"), _entry("c", state="stopping"))
+        self.peers.handlers = {
+            "b": _answered,
+            "c": _answered,
+        }
+        self._run()
+        self.assertEqual([vm for vm, _ in self.peers.sent], ["b"])
+        self.peers.handlers["b"] = functools.partial(
+            _not_run, reason=outcome.Reason.OVERLOADED
+        )
+        self.assertIsInstance(self._run(), outcome.Answered)
+        self.assertEqual([vm for vm, _ in self.peers.sent], ["b", "b", "c"])
+
     def test_a_lost_answer_is_retried_only_if_idempotent(self):
         self._update_entries(_entry("b"), _entry("c"))
         self.peers.handlers["b"] = self.peers.handlers["c"] = _lost
