--- a/primrosecross/domain/ownership/grant_caller.py
+++ b/primrosecross/domain/ownership/grant_caller.py
@@ -1,7 +1,8 @@
-"""Grants the local target its keys by calls, one at a time.
+"""Grants the local target its keys by calls.
 
-Keys that requests wait for come first, then releases, whose keys others wait
-for, then renewals.
+Grants go one at a time, with releases beside them, as each of those may take a
+while. Keys that requests wait for come first, then releases, whose keys others
+wait for, then renewals.
 """
 
 import functools
