Apply answers of the coordinator that come late

Callers got 404 for routes that the store had confirmed 3 to 4 s before. A daemon learns of a plan only in answers to its reports, and dropped an answer after 1000 ms, with the plan in it. Behind a link that is full of bodies of requests every answer comes later than that.

A report's answer now counts for 5 s, also while the peer is silent; the next report is sent after 1000 ms as before. An answer that another one of the same term has overtaken brings plan, map and proof, whose order is known, but not the directory and not what it says of the coordinator, which a late answer shows to have lived no longer than one in time did.

--- a/primrosecross/domain/membership/follower.py
+++ b/primrosecross/domain/membership/follower.py
@@ -24,7 +24,8 @@
 from primrosecross.ports import peers as peers_port
 
 SYNC_MS = 400
-SYNC_TIMEOUT_MS = 1000  # a busy coordinator's late answer beats a retry
+SYNC_TIMEOUT_MS = 1000  # until the next report; a busy coordinator is slow
+LATE_ANSWER_MS = 5000  # an answer may wait behind bodies on a full link
 STALE_PROOF_MS = 2200  # outlasts a missed coordinator read and two missed syncs
 STARTUP_PROOF_WAIT_MS = 800  # a restarted daemon must grant before holds expire
 SILENT_MS = 1000  # without an answer; then it counts as unreachable
@@ -107,7 +108,9 @@
 
     def _sync_or_read(self) -> None:
         if self.coordinator and self.coordinator != self._vm:
-            self.sync_with(self.coordinator)
+            # A late answer brings its updates while the next report is sent.
+            task = gevent.spawn(self.sync_with, self.coordinator)
+            task.join(timeout=SYNC_TIMEOUT_MS / 1000)
         if self._needs_proof():
             self._sync_with_others()
         if self._needs_proof():
@@ -138,7 +141,10 @@
         request_sent_ns = self._clock.now_ns()
         try:
             ack = self._peers.call(
-                vm, self.make_report(), timeout_ms=SYNC_TIMEOUT_MS
+                vm,
+                self.make_report(),
+                timeout_ms=LATE_ANSWER_MS,
+                patience=peers_port.Patience.UNTIL_REMOVED,
             )
         except errors.PeerError as error:
             _logger.info("cannot sync with %s: %s", vm, error)
@@ -160,12 +166,33 @@
                 proof_module.Proof(ack.proof_version, read_ns),
                 map_version=self._state.key_map.version,
             )
-        if vm == self.coordinator and ack.term == self.term:
-            self.echo_ns = ack.sent_ns
         if self._state.key_map.version >= ack.map_version:
             self._lease.extend(request_sent_ns + ack.promised_ms * _NS_PER_MS)
+        if not self._is_overtaken(vm, ack):
+            self._apply_term(vm, ack, request_sent_ns)
+
+    def _is_overtaken(self, vm: str, ack: fleet_messages.SyncAck) -> bool:
+        """Returns whether a later answer of the coordinator came first."""
+        if vm != self.coordinator or ack.term > self.term:
+            return False
+        return ack.term < self.term or ack.sent_ns < self.echo_ns
+
+    def _apply_term(
+        self, vm: str, ack: fleet_messages.SyncAck, request_sent_ns: int
+    ) -> None:
+        """Applies the directory and what the answer says of the coordinator.
+
+        A late answer shows no more than that the coordinator lived
+        SYNC_TIMEOUT_MS after the report was sent.
+        """
+        if vm == self.coordinator and ack.term == self.term:
+            self.echo_ns = ack.sent_ns
         if 0 <= ack.office_age_ms < STALE_TERM_MS and vm == self.coordinator:
-            self._coordinator_answer_ns = self._clock.now_ns()
+            in_time_ns = request_sent_ns + SYNC_TIMEOUT_MS * _NS_PER_MS
+            self._coordinator_answer_ns = max(
+                self._coordinator_answer_ns,
+                min(self._clock.now_ns(), in_time_ns),
+            )
             self._apply_directory(ack)
         elif vm == self.coordinator and ack.term == self.term:
             self._handle_lost_term(ack)
@@ -236,7 +263,10 @@
             if e.vm not in (self._vm, self.coordinator) and e.state != "lost"
         ]
         sampled = random.sample(others, min(PEER_SAMPLE_SIZE, len(others)))
-        gevent.joinall([gevent.spawn(self.sync_with, vm) for vm in sampled])
+        gevent.joinall(
+            [gevent.spawn(self.sync_with, vm) for vm in sampled],
+            timeout=SYNC_TIMEOUT_MS / 1000,
+        )
 
     def _read_store(self) -> None:
         """Reads a proof from the store, at most every MIN_READ_INTERVAL_MS."""
--- a/tests/test_plan_freshness.py
+++ b/tests/test_plan_freshness.py
@@ -1,5 +1,6 @@
 """A changed plan takes hold in time at daemons whose answers come late."""
 
+import dataclasses
 import time
 import unittest
 
@@ -9,6 +10,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
+from primrosecross.domain.membership import fleet_messages
 from primrosecross.domain.membership import fleet_state
 from primrosecross.domain.membership import follower
 from primrosecross.domain.membership import plan_watch
@@ -111,6 +113,38 @@
         passed_ms = (self.clock.now_ns() - started_ns) / 1e6
         self.assertLess(passed_ms, PLAN_IN_FORCE_MS)
 
+    def test_late_answer_does_not_undo_a_later_one(self):
+        self.follower.update_coordinator("c", "c:1", 1)
+        answers = [
+            dataclasses.replace(
+                self.coordinator.answer_sync(fleet_fakes.sync("a")),
+                term=1,
+                office_age_ms=0,
+                directory="c/1",
+                directory_number=number,
+                sent_ns=number,
+                entries=(
+                    fleet_messages.VmEntry(
+                        "b", "z", "b:1", "d", 1, state, False
+                    ),
+                ),
+            )
+            for number, state in ((2, "ready"), (1, "lost"))
+        ]
+        self.peers.handlers["c"] = lambda message: answers.pop(0)
+        self.follower.sync_with("c")
+        self.follower.sync_with("c")
+        self.assertEqual(self.state.entries["b"].state, "ready")
+        self.assertEqual(self.follower.directory_number, 2)
+
+    def test_reports_go_on_while_an_answer_is_outstanding(self):
+        self.follower.update_coordinator("c", "c:1", 1)
+        self.peers.handlers["c"] = lambda message: gevent.sleep(10)
+        task = gevent.spawn(self.follower.run)
+        self.addCleanup(task.kill)
+        gevent.sleep(2.0)
+        self.assertGreaterEqual(len(self.peers.sent), 2)
+
 
 class SilentWatchPlans(fleet_fakes.NoPlans):
     """A plan that changes while the first watch of it stays silent."""
