Send a new plan to daemons before they ask for it

A daemon behind a full link waited for two delays: of the notice that there is a new plan, and of the answer to the report that the notice caused. With a delay of 1.8 s that is 3.6 s of the 2.5 s allowed. The coordinator now sends the plan in place of the notice. The receiver reports at once as before, since only the answer to a question of its own shows how old the plan is.

test_plan_is_sent_to_daemons_before_they_ask failed before: no plan was sent.

--- a/primrosecross/adapters/peers/message_bounds.py
+++ b/primrosecross/adapters/peers/message_bounds.py
@@ -83,6 +83,11 @@
     _convert(message.term, bounds.Version)
 
 
+@check.register
+def _(message: fleet_messages.PlanUpdate) -> None:
+    _convert(message.plan_revision, bounds.Version)
+
+
 def _convert(value: object, model: object) -> None:
     try:
         msgspec.convert(value, model)
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -256,6 +256,9 @@
         dispatch = functools.singledispatch(_refuse_unknown)
         dispatch.register(fleet_messages.Sync, self.coordinator.answer_sync)
         dispatch.register(fleet_messages.Notice, self.coordinator.answer_notice)
+        dispatch.register(
+            fleet_messages.PlanUpdate, self.follower.answer_plan_update
+        )
         dispatch.register(request_messages.Forward, self._answer_forward)
         self.quarantine.register_handlers(dispatch)
         return dispatch
--- a/primrosecross/domain/membership/fleet_messages.py
+++ b/primrosecross/domain/membership/fleet_messages.py
@@ -147,6 +147,22 @@
     entries: tuple[VmEntry, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanUpdate:
+    """Sends a new plan to a daemon before it asks; the reply is Done.
+
+    It says nothing of the plan's age, as nobody knows how long it was on its
+    way.
+
+    Attributes:
+        plan_revision: Revision of the plan.
+        plan: The plan, encoded.
+    """
+
+    plan_revision: int
+    plan: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notice:
     """Notifies a daemon that updates are available; the reply is Done.
--- a/primrosecross/domain/membership/follower.py
+++ b/primrosecross/domain/membership/follower.py
@@ -225,15 +225,17 @@
             if newer_map is not None:
                 self._state.update_map(newer_map)
         if ack.plan:
-            self._apply_plan(ack)
+            self._apply_plan(ack.plan_revision, ack.plan)
 
-    def _apply_plan(self, ack: fleet_messages.SyncAck) -> None:
+    def _apply_plan(self, revision: int, content: bytes) -> None:
         """Applies the plan; a malformed one does not cost the other updates."""
+        if revision <= self._known_plan_revision():
+            return
         try:
-            document = self._plans.decode_plan(ack.plan_revision, ack.plan)
+            document = self._plans.decode_plan(revision, content)
         except errors.DocumentError as error:
-            if self._refused_revision != ack.plan_revision:
-                self._refused_revision = ack.plan_revision
+            if self._refused_revision != revision:
+                self._refused_revision = revision
                 _logger.error("the last valid plan stays in force: %s", error)
             return
         self._state.update_plan(document)
@@ -318,6 +320,18 @@
         self.wake()
         return stream_messages.Done()
 
+    def answer_plan_update(
+        self, update: fleet_messages.PlanUpdate
+    ) -> messages.Message:
+        """Handles a new plan, and reports at once to learn its age."""
+        self._apply_plan(update.plan_revision, update.plan)
+        self.wake()
+        return stream_messages.Done()
+
+    def _known_plan_revision(self) -> int:
+        plan = self._state.plan
+        return 0 if plan is None else plan.revision
+
     def _change_since(self, version: int) -> bytes:
         """Returns the encoded change from a map version to the newest."""
         newest = self._state.key_map
--- a/primrosecross/domain/messages.py
+++ b/primrosecross/domain/messages.py
@@ -57,6 +57,7 @@
     | fleet_messages.Sync
     | fleet_messages.SyncAck
     | fleet_messages.Notice
+    | fleet_messages.PlanUpdate
 )
 
 
--- a/primrosecross/domain/ownership/range_coordinator.py
+++ b/primrosecross/domain/ownership/range_coordinator.py
@@ -85,7 +85,7 @@
         self._last_error = ""
         self._proof_ns = 0
         self._lost_notified_ns = 0
-        self._notified_revision = 0
+        self._sent_revision = 0
         # (version, write time in ns) of this term, oldest first. Versions
         # before the first entry are past the move cooldown.
         self._written_versions: collections.deque[tuple[int, int]] = (
@@ -220,7 +220,7 @@
         )
         self._record_report(self._follower.make_report())
         self._notify_lost()
-        self._notify_plan()
+        self._send_plan()
         try:
             self._refresh_proof()
             self._decide()
@@ -370,11 +370,22 @@
             if vm != self._vm:
                 gevent.spawn(self._notify, vm)
 
-    def _notify_plan(self) -> None:
-        plan = self._state.plan
-        if plan is not None and plan.revision != self._notified_revision:
-            self._notified_revision = plan.revision
-            self._notify_all()
+    def _send_plan(self) -> None:
+        """Sends a new plan to all daemons.
+
+        A daemon whose answers come late would wait twice as long if it had to
+        ask for the plan.
+        """
+        document = self._state.plan_document
+        if document is None or document.plan.revision == self._sent_revision:
+            return
+        self._sent_revision = document.plan.revision
+        update = fleet_messages.PlanUpdate(
+            document.plan.revision, document.content
+        )
+        for vm in self._directory.vms:
+            if vm != self._vm:
+                gevent.spawn(self._send, vm, update)
 
     def _notify_all(self) -> None:
         for vm in self._directory.vms:
@@ -386,8 +397,12 @@
         notice = fleet_messages.Notice(
             self._vm, self._follower.address, self._term
         )
+        self._send(vm, notice)
+
+    def _send(self, vm: str, message: messages.Message) -> None:
+        """Sends a message; its receiver's next report makes up for a loss."""
         try:
-            self._peers.call(vm, notice, timeout_ms=NOTICE_TIMEOUT_MS)
+            self._peers.call(vm, message, timeout_ms=NOTICE_TIMEOUT_MS)
         except errors.PeerError as error:
             _logger.debug("could not notify VM %s: %s", vm, error)
 
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -131,6 +131,7 @@
         for term in (-1, 2**63):
             self.assert_refused(fleet_fakes.sync("a", term=term))
             self.assert_refused(fleet_messages.Notice("a", "a:1", term))
+            self.assert_refused(fleet_messages.PlanUpdate(term, b""))
 
     # Such numbers become part of the assignment that all daemons read.
     def test_member_out_of_range_is_refused(self):
--- a/tests/test_plan_freshness.py
+++ b/tests/test_plan_freshness.py
@@ -138,6 +138,14 @@
         self.assertEqual(self.state.entries["b"].state, "ready")
         self.assertEqual(self.follower.directory_number, 2)
 
+    def test_plan_that_is_sent_unasked_is_in_force_but_has_no_age(self):
+        update = fleet_messages.PlanUpdate(2, b"{}")
+        self.follower.answer_plan_update(update)
+        self.assertEqual(self.state.plan.revision, 2)
+        self.assertEqual(self.state.plan_confirmed_ns, 0)
+        self.follower.answer_plan_update(fleet_messages.PlanUpdate(1, b"{}"))
+        self.assertEqual(self.state.plan.revision, 2)
+
     def test_reports_go_on_while_an_answer_is_outstanding(self):
         self.follower.update_coordinator("c", "c:1", 1)
         self.peers.handlers["c"] = lambda message: gevent.sleep(10)
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -3,6 +3,8 @@
 import dataclasses
 import unittest
 
+import gevent
+
 from primrosecross.adapters import fleet_repository
 from primrosecross.domain import fleet_node
 from primrosecross.domain import stamp
@@ -88,6 +90,21 @@
             self.coordinator._start_term()
             self.coordinator._run_cycle()
 
+    # A daemon behind a full link got the plan only after two delays: of the
+    # notice, and of the answer that it asked for.
+    def test_plan_is_sent_to_daemons_before_they_ask(self):
+        self._run(1000, "b", "c")
+        self.peers.sent.clear()
+        self.state.update_plan(fleet_fakes.plan_document(revision=7))
+        self._run(100)
+        gevent.sleep(0)
+        sent = {
+            vm: message.plan_revision
+            for vm, message in self.peers.sent
+            if isinstance(message, fleet_messages.PlanUpdate)
+        }
+        self.assertEqual(sent, {"b": 7, "c": 7})
+
     def _holders(self) -> set[str]:
         return {r.holder for r in self.state.key_map.tables["desk"].ranges}
 
