Refuse requests where they arrive if the plan has moved their route

A daemon that does not get a new plan in time sends requests to the service that no longer has their route. The VM that they reach may well have the newer plan: requests now carry the revision of the plan that routed them, and a daemon whose newer plan routes one elsewhere refuses it as not run, with Retry-After, before it reads the body.

The fake cluster of the request tests copied the message's fields; it uses the daemon's own conversion now.

--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -273,6 +273,10 @@
     def _answer_forward(
         self, forward: request_messages.Forward
     ) -> messages.Message:
+        refusal = self.route_lookup.refuse_moved(forward)
+        if refusal is not None:
+            body.close(forward.body)
+            return replies.reply_of(refusal, forward.request_id)
         try:
             content = body.read_all(forward.body)
         except errors.BodyError as error:
@@ -302,7 +306,6 @@
 
     def report(self) -> fleet_messages.Sync:
         """Returns a report for the coordinator and resets the key counts."""
-        plan = self.state.plan
         return fleet_messages.Sync(
             vm=self._identity.vm,
             place=self._identity.place,
@@ -312,7 +315,7 @@
             term=self.follower.term,
             echo_ns=self.follower.echo_ns,
             map_version=self.state.key_map.version,
-            plan_revision=0 if plan is None else plan.revision,
+            plan_revision=self.state.plan_revision,
             directory=self.follower.directory,
             directory_number=self.follower.directory_number,
             targets=self._target_reports(),
--- a/primrosecross/domain/membership/fleet_state.py
+++ b/primrosecross/domain/membership/fleet_state.py
@@ -37,6 +37,11 @@
         """Newest route plan, None until one is received."""
         return None if self.plan_document is None else self.plan_document.plan
 
+    @property
+    def plan_revision(self) -> int:
+        """Revision of the newest route plan, 0 until one is received."""
+        return 0 if self.plan is None else self.plan.revision
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls a function after each change; it must not block."""
         self._listeners.append(listener)
--- a/primrosecross/domain/membership/follower.py
+++ b/primrosecross/domain/membership/follower.py
@@ -229,7 +229,7 @@
 
     def _apply_plan(self, revision: int, content: bytes) -> None:
         """Applies the plan; a malformed one does not cost the other updates."""
-        if revision <= self._known_plan_revision():
+        if revision <= self._state.plan_revision:
             return
         try:
             document = self._plans.decode_plan(revision, content)
@@ -328,10 +328,6 @@
         self.wake()
         return stream_messages.Done()
 
-    def _known_plan_revision(self) -> int:
-        plan = self._state.plan
-        return 0 if plan is None else plan.revision
-
     def _change_since(self, version: int) -> bytes:
         """Returns the encoded change from a map version to the newest."""
         newest = self._state.key_map
@@ -371,7 +367,7 @@
         key_map = self._state.key_map
         document = self._state.plan_document
         newest = self._lease.newest
-        revision = 0 if document is None else document.plan.revision
+        revision = self._state.plan_revision
         return fleet_messages.SyncAck(
             coordinator=self.coordinator,
             coordinator_address=self.coordinator_address,
--- a/primrosecross/domain/ownership/range_coordinator.py
+++ b/primrosecross/domain/ownership/range_coordinator.py
@@ -168,9 +168,10 @@
         if self._directory.record_report(sync):
             self._wake.set()
         self._record_counts(sync)
-        document = self._state.plan_document
-        own_revision = 0 if document is None else document.plan.revision
-        if sync.plan_revision > own_revision and sync.vm != self._vm:
+        if (
+            sync.plan_revision > self._state.plan_revision
+            and sync.vm != self._vm
+        ):
             gevent.spawn(self._follower.sync_with, sync.vm)
 
     def _record_counts(self, sync: fleet_messages.Sync) -> None:
--- a/primrosecross/domain/requests/dispatcher.py
+++ b/primrosecross/domain/requests/dispatcher.py
@@ -292,6 +292,7 @@
         message = forwards.to_message(
             req,
             timeout_ms=remaining_ms,
+            plan_revision=self._state.plan_revision,
             body=body_module.stream_if_large(req.body),
         )
         try:
--- a/primrosecross/domain/requests/forwards.py
+++ b/primrosecross/domain/requests/forwards.py
@@ -12,6 +12,7 @@
     *,
     timeout_ms: int,
     generation: int = 0,
+    plan_revision: int = 0,
     body: body_module.Body | None = None,
 ) -> request_messages.Forward:
     """Returns the message that forwards a request to another daemon.
@@ -21,6 +22,7 @@
         timeout_ms: Time remaining until its deadline.
         generation: Generation of the grant under which the receiver is
             expected to own the key.
+        plan_revision: Revision of the plan that routed the request, if any.
         body: Body to send, if not the request's own.
     """
     return request_messages.Forward(
@@ -40,6 +42,7 @@
         objective_ms=req.objective_ms,
         origin=req.origin,
         waited_ms=req.waited_ms,
+        plan_revision=plan_revision,
     )
 
 
--- a/primrosecross/domain/requests/request_messages.py
+++ b/primrosecross/domain/requests/request_messages.py
@@ -26,6 +26,8 @@
             benefit; 0 if the plan sets none.
         origin: Service on whose VM the request originated, empty if unknown.
         waited_ms: Time since the caller's first attempt.
+        plan_revision: Revision of the route plan at the sender; 0 if it has
+            none.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     objective_ms: int = 0
     origin: str = ""
     waited_ms: int = 0
+    plan_revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -20,6 +20,7 @@
 from primrosecross.domain.requests import body
 from primrosecross.domain.requests import deduplicator
 from primrosecross.domain.requests import executor
+from primrosecross.domain.requests import forwards
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import outcome_cache
 from primrosecross.domain.requests import quarantine
@@ -252,15 +253,7 @@
     def _execute(
         self, runner: executor.Executor, forward: request_messages.Forward
     ) -> messages.Message:
-        fields = {
-            f.name: getattr(forward, f.name)
-            for f in dataclasses.fields(forward)
-            if f.name not in ("generation", "timeout_ms")
-        }
-        remaining_ns = forward.timeout_ms * lease.NS_PER_MS
-        req = request.Request(
-            **fields, deadline_ns=self.clock.now_ns() + remaining_ns
-        )
+        req = forwards.from_message(forward, now_ns=self.clock.now_ns())
         return replies.reply_of(runner.execute(req), req.request_id)
 
     def assign_owner(self, name: str, *, lost: str = "") -> None:
