Notice a silent watch of the plan on the product's own fleet in time

The same cause as on the platform: a silent watch was given up after 32 s, and a plan is to be in force everywhere within 10 s. It is given up after 6 s now, and the error is logged. The test compares the time limits; it failed before with 33000 ms. No process was run against a silent store.

--- a/primrosecross/domain/node.py
+++ b/primrosecross/domain/node.py
@@ -47,7 +47,7 @@
 from primrosecross.ports import repository as repository_port
 from primrosecross.ports import target as target_port
 
-PLAN_WATCH_TIMEOUT_MS = 30_000
+PLAN_WATCH_TIMEOUT_MS = 4000  # a plan may change unseen by a dead watch
 PLAN_RETRY_MS = 1000
 
 _logger = logging.getLogger(__name__)
@@ -349,5 +349,5 @@
                 self._ports.repository.wait_for_plan(
                     version, PLAN_WATCH_TIMEOUT_MS
                 )
-            except errors.StoreError:
-                continue
+            except errors.StoreError as error:
+                _logger.info("cannot watch the plan: %s", error)
--- a/tests/test_plan_freshness.py
+++ b/tests/test_plan_freshness.py
@@ -6,9 +6,11 @@
 
 import gevent
 
+from primrosecross.adapters import object_store
 from primrosecross.adapters.http import http_parser
 from primrosecross.domain import errors
 from primrosecross.domain import messages
+from primrosecross.domain import node
 from primrosecross.domain import stamp
 from primrosecross.domain.membership import fleet_messages
 from primrosecross.domain.membership import fleet_state
@@ -214,6 +216,21 @@
         self.assertLess(passed_ms, PLAN_IN_FORCE_MS)
 
 
+class OwnFleetWatchTest(unittest.TestCase):
+    """The watch of the plan on the product's own fleet."""
+
+    IN_FORCE_MS = 10_000  # of a plan, on all VMs
+
+    # A plan was seen only after 31 s if the watch of it had gone silent.
+    def test_silent_watch_leaves_time_for_the_plan_to_spread(self):
+        silent_ms = (
+            node.PLAN_WATCH_TIMEOUT_MS
+            + object_store.REQUEST_TIMEOUT_MS
+            + node.PLAN_RETRY_MS
+        )
+        self.assertLess(silent_ms, self.IN_FORCE_MS - 2000)
+
+
 class WatchedPlans(fleet_fakes.NoPlans):
     """A plan whose second watch never ends.
 
