Give up endless answers to key calls early

An operator of a similar system reports that a worker's bytes without end, in a head or a body, filled the memory of the machine that had called it. Each of the two clients of key calls kept up to 64 MB, beside a quarter of the memory for requests' answers: more than a VM of 200 MB has.

The test failed before for each of five endless bodies and both orders: more than 2 MB were read. The store's client keeps up to 64 MB a client as before.

--- a/primrosecross/adapters/http/key_calls_http.py
+++ b/primrosecross/adapters/http/key_calls_http.py
@@ -50,8 +50,10 @@
 
     def __init__(self, *, address: str, dialect: Dialect) -> None:
         self._dialect = dialect
+        # Answers have short bodies or none; a faulty target's may never end.
+        budget = http_response.BodyBudget(max_bytes=0)
         self._clients = {
-            order_type: http_client.HttpClient(address=address)
+            order_type: http_client.HttpClient(address=address, budget=budget)
             for order_type in dialect.paths
         }
         self._echo = request_echo.RequestEcho(dialect.request_id)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -11,6 +11,7 @@
 from primrosecross.adapters import object_store
 from primrosecross.adapters.http import http_client
 from primrosecross.adapters.http import http_response
+from primrosecross.adapters.http import key_calls_http
 from primrosecross.adapters.http import target_http
 from primrosecross.domain import errors
 from primrosecross.domain import stamp
@@ -18,7 +19,9 @@
 from primrosecross.domain.requests import body
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import request
+from primrosecross.platform import key_calls
 from primrosecross.platform import targets as platform_targets
+from primrosecross.ports import key_calls as key_calls_port
 from primrosecross.ports import target as target_port
 from tests import endless_fakes
 
@@ -165,6 +168,38 @@
         self.assertEqual(len(response.body), 200_000)
 
 
+class KeyCallsTest(unittest.TestCase):
+    """A target that answers a grant or release without end."""
+
+    # Two such answers took more memory than a small VM has.
+    def test_endless_answer_to_a_key_call_is_given_up_early(self):
+        orders = (
+            key_calls_port.GrantCall(0, 9, 3, 4000, ""),
+            key_calls_port.ReleaseCall(0, 9, 3),
+        )
+        for order in orders:
+            for name, (head, repeated) in ENDLESS_BODIES.items():
+                sock = endless_fakes.ReadySocket(
+                    head,
+                    repeated.replace(b"Id: 1", b"Request-Id: r0"),
+                    2 * endless_fakes.MAX_BODY_BYTES,
+                )
+                calls = key_calls_http.HttpKeyCalls(
+                    address="127.0.0.1:1", dialect=key_calls.DIALECT
+                )
+                with (
+                    self.subTest(name, order=order),
+                    mock.patch.object(
+                        http_client.gevent_socket,
+                        "create_connection",
+                        lambda *_, sock=sock, **__: sock,
+                    ),
+                ):
+                    result = calls.call("i-1", order, timeout_ms=5000)
+                    self.assertIsInstance(result, key_calls_port.InDoubt)
+                    self.assertTrue(sock.closed)
+
+
 class FairnessTest(ExchangeTest):
     """A sender that is faster than its reader."""
 
