--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -245,7 +245,7 @@
         """
         is_silent = self.follower.is_coordinator_silent()
         return not self.follower.has_lease_extension() and (
-            is_silent or self.route_lookup.may_be_old()
+            is_silent or self.route_lookup.lacks_confirmation()
         )
 
     def _report_now(self) -> None:
--- a/primrosecross/domain/requests/route_lookup.py
+++ b/primrosecross/domain/requests/route_lookup.py
@@ -43,6 +43,7 @@
         self._state = state
         self._clock = clock
         self.in_force_ms = in_force_ms
+        self._started_ns = clock.now_ns()
         self._revision = 0
         self._changed_ns = 0
         state.subscribe(self._note_change)
@@ -57,9 +58,14 @@
         age_ns = self._clock.now_ns() - self._state.plan_confirmed_ns
         return age_ns // _NS_PER_MS
 
-    def may_be_old(self) -> bool:
-        """Returns whether a plan may be in force that this VM does not know."""
-        return self.plan_age_ms() > self.in_force_ms
+    def lacks_confirmation(self) -> bool:
+        """Returns whether nobody has confirmed the plan for too long.
+
+        After a start, others have time to do so.
+        """
+        since_ns = max(self._state.plan_confirmed_ns, self._started_ns)
+        waited_ns = self._clock.now_ns() - since_ns
+        return waited_ns > self.in_force_ms * _NS_PER_MS
 
     def find(
         self, host: str, path: str, request_id: str
--- a/tests/test_plan_freshness.py
+++ b/tests/test_plan_freshness.py
@@ -308,6 +308,34 @@
         self.assertEqual(self._status(), 503)
 
 
+class ConfirmationTest(unittest.TestCase):
+    """Whether a daemon asks the store for the plan itself."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.ManualClock()
+        self.state = fleet_state.FleetState()
+        self.state.update_plan(fleet_fakes.plan_document(1))
+        self.lookup = route_lookup.RouteLookup(
+            state=self.state, clock=self.clock, in_force_ms=PLAN_IN_FORCE_MS
+        )
+
+    # Half of a fleet read the plan from the store as soon as it had started.
+    def test_daemons_that_start_together_wait_for_the_coordinator(self):
+        self.clock.advance(PLAN_IN_FORCE_MS)
+        self.assertFalse(self.lookup.lacks_confirmation())
+        self.clock.advance(1)
+        self.assertTrue(self.lookup.lacks_confirmation())
+
+    # A coordinator that answers with an old plan counted as a source of it.
+    def test_daemon_asks_itself_if_nobody_confirms_the_plan(self):
+        self.clock.advance(10_000)
+        self.state.confirm_plan(1, self.clock.now_ns())
+        self.clock.advance(PLAN_IN_FORCE_MS)
+        self.assertFalse(self.lookup.lacks_confirmation())
+        self.clock.advance(1)
+        self.assertTrue(self.lookup.lacks_confirmation())
+
+
 class PlanAgeTest(unittest.TestCase):
     """The age of the plan along the chain from the store to a daemon."""
 
