Keep a target in use that refuses requests by a newer plan

A daemon with an old plan left out, for up to 2.4 s, each healthy target that refused a request because the plan had moved its route: the refusal counted as a failure of the target. Found by reading the change; the test failed before.

--- a/primrosecross/domain/requests/target_balancer.py
+++ b/primrosecross/domain/requests/target_balancer.py
@@ -26,7 +26,11 @@
 LARGE_REMOTE_FACTOR = 2.5  # large bodies cause most of that traffic
 INITIAL_LATENCY_MS = 50.0
 _READY = "ready"
-_BUSY = frozenset({outcome.Reason.OVERLOADED})
+# Backoff after a refusal that is no failure of the target.
+_BACKOFF_MS = {
+    outcome.Reason.OVERLOADED: OVERLOADED_BACKOFF_MS,
+    outcome.Reason.PLAN_UNCONFIRMED: 0,  # The sender's plan is the old one.
+}
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,8 +154,10 @@
             stats.latency_ms += LATENCY_WEIGHT * (
                 duration_ms - stats.latency_ms
             )
-        elif isinstance(result, outcome.NotRun) and result.reason in _BUSY:
-            self._back_off(stats, OVERLOADED_BACKOFF_MS)
+        elif (
+            isinstance(result, outcome.NotRun) and result.reason in _BACKOFF_MS
+        ):
+            self._back_off(stats, _BACKOFF_MS[result.reason])
         elif not isinstance(result, outcome.Answered):
             stats.failures += 1
             self._back_off(stats, self._backoff_ms(stats))
--- a/tests/test_moved_routes.py
+++ b/tests/test_moved_routes.py
@@ -4,6 +4,7 @@
 
 from primrosecross.domain import fleet_node
 from primrosecross.domain import stamp
+from primrosecross.domain.membership import fleet_messages
 from primrosecross.domain.membership import fleet_state
 from primrosecross.domain.membership import membership
 from primrosecross.domain.operators import events
@@ -12,6 +13,7 @@
 from primrosecross.domain.requests import request_messages
 from primrosecross.domain.requests import route_lookup
 from primrosecross.domain.requests import routes
+from primrosecross.domain.requests import target_balancer
 from primrosecross.ports import fleet_repository
 from tests import fakes
 from tests import fleet_fakes
@@ -87,6 +89,29 @@
         self.assertIsNone(self._reason(plan_revision=3))
 
 
+class BalancerTest(unittest.TestCase):
+    """The daemon whose plan is old, and the refusals that it gets."""
+
+    # A healthy target was left out for up to 2.4 s by each such refusal.
+    def test_refusal_by_a_newer_plan_says_nothing_of_the_target(self):
+        balancer = target_balancer.TargetBalancer(
+            place="z", clock=fakes.ManualClock()
+        )
+        entry = fleet_messages.VmEntry(
+            "b", "z", "b:1", "desk", 2, "ready", False
+        )
+        for reason, is_available in (
+            (outcome.Reason.PLAN_UNCONFIRMED, True),
+            (outcome.Reason.NO_TARGET, False),
+        ):
+            balancer.record_start("b")
+            balancer.record_end("b", outcome.NotRun(reason, ""), 5.0)
+            available = balancer.has_available(
+                {"b": entry}, "desk", avoid=frozenset()
+            )
+            self.assertIs(available, is_available, reason)
+
+
 class NodeTest(unittest.TestCase):
     """A daemon with no target, which would refuse all that gets past."""
 
