--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -214,7 +214,7 @@
             plans=ports.plans,
             clock=ports.clock,
             is_coordinator=lambda: self.election.is_coordinator,
-            is_coordinator_silent=self._has_no_source,
+            has_no_source=self._has_no_source,
             on_change=self._report_now,
         )
 
--- a/primrosecross/domain/membership/plan_watch.py
+++ b/primrosecross/domain/membership/plan_watch.py
@@ -1,7 +1,7 @@
 """Reads the operators' plan from the store.
 
 The coordinator and a few other daemons watch the store. All others receive the
-plan in answers to their reports, unless they cannot reach a coordinator.
+plan from the coordinator, unless nobody confirms it to them for long.
 """
 
 import logging
@@ -33,7 +33,7 @@
         plans: Source of the plan.
         clock: Clock for delays.
         is_coordinator: Returns whether this daemon is the coordinator.
-        is_coordinator_silent: Returns whether no coordinator answers.
+        has_no_source: Returns whether nobody confirms the plan to this daemon.
         on_change: Called when a newer plan was read.
     """
 
@@ -45,7 +45,7 @@
         plans: fleet_repository.PlanSource,
         clock: clock_port.Clock,
         is_coordinator: Callable[[], bool],
-        is_coordinator_silent: Callable[[], bool],
+        has_no_source: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
         self._vm = vm
@@ -53,7 +53,7 @@
         self._plans = plans
         self._clock = clock
         self._is_coordinator = is_coordinator
-        self._is_coordinator_silent = is_coordinator_silent
+        self._has_no_source = has_no_source
         self._on_change = on_change
         self._last_error = ""
 
@@ -78,7 +78,7 @@
         """
         asked_ns = self._clock.now_ns()
         try:
-            self._read()
+            self._read(asked_ns)
         except errors.StoreObjectError as error:
             if self._state.plan is not None:
                 self._state.confirm_plan(self._state.plan.revision, asked_ns)
@@ -93,15 +93,14 @@
         self._clock.sleep(RETRY_MS * random.uniform(0.5, 1.5))
 
     def _is_watcher(self) -> bool:
-        if self._is_coordinator() or self._is_coordinator_silent():
+        if self._is_coordinator() or self._has_no_source():
             return True
         reporting_vms = sorted(
             e.vm for e in self._state.entries.values() if e.state != "lost"
         )
         return self._vm in reporting_vms[:WATCHER_COUNT]
 
-    def _read(self) -> None:
-        asked_ns = self._clock.now_ns()
+    def _read(self, asked_ns: int) -> None:
         stored_plan = self._plans.read_plan()
         if stored_plan is None:
             return
--- a/tests/test_plan_freshness.py
+++ b/tests/test_plan_freshness.py
@@ -204,7 +204,7 @@
             plans=plans,
             clock=clock,
             is_coordinator=lambda: True,
-            is_coordinator_silent=lambda: False,
+            has_no_source=lambda: False,
             on_change=lambda: None,
         )
         task = gevent.spawn(watch.run)
@@ -374,7 +374,7 @@
             plans=plans,
             clock=self.clock,
             is_coordinator=lambda: True,
-            is_coordinator_silent=lambda: False,
+            has_no_source=lambda: False,
             on_change=lambda: None,
         )
         task = gevent.spawn(watch.run)
--- a/tests/test_plan_watch.py
+++ b/tests/test_plan_watch.py
@@ -44,7 +44,7 @@
             plans=plans,
             clock=fleet_fakes.GeventClock(),
             is_coordinator=lambda: False,
-            is_coordinator_silent=lambda: coordinator_silent,
+            has_no_source=lambda: coordinator_silent,
             on_change=lambda: None,
         )
         task = gevent.spawn(watch.run)
@@ -92,7 +92,7 @@
             plans=plans,
             clock=fleet_fakes.GeventClock(),
             is_coordinator=lambda: True,
-            is_coordinator_silent=lambda: False,
+            has_no_source=lambda: False,
             on_change=lambda: None,
         )
         with self.assertLogs(plan_watch.__name__, "WARNING") as logs:
