--- a/primrosecross/domain/ownership/range_coordinator.py
+++ b/primrosecross/domain/ownership/range_coordinator.py
@@ -17,6 +17,7 @@
 from primrosecross.domain.membership import fleet_state
 from primrosecross.domain.membership import follower as follower_module
 from primrosecross.domain.ownership import election as election_module
+from primrosecross.domain.ownership import fleet_notices
 from primrosecross.domain.ownership import key_load
 from primrosecross.domain.ownership import key_map as key_map_module
 from primrosecross.domain.ownership import lease_extension
@@ -33,9 +34,7 @@
 MIN_GAP_MS = 20
 GAP_MS_PER_VM = 2.5  # large fleets batch changes: each notifies many VMs
 MAX_GAP_MS = 500
-MAX_NOTIFIED_VMS = 24  # larger fleets notify only the VMs that a change affects
 PROOF_REFRESH_MS = 800
-NOTICE_TIMEOUT_MS = 300
 LOST_NOTICE_INTERVAL_MS = 500
 MOVE_COOLDOWN_MS = 1500  # between moves of a key, until its new load is known
 _NS_PER_MS = proof_module.NS_PER_MS
@@ -75,6 +74,13 @@
         self._peers = peers
         self._clock = clock
         self._directory = directory_module.Directory(state=state, clock=clock)
+        self._notices = fleet_notices.FleetNotices(
+            vm=vm,
+            address=follower.address,
+            state=state,
+            peers=peers,
+            reporting_vms=lambda: self._directory.vms,
+        )
         self._extensions = lease_extension.LeaseExtensions(vm=vm, clock=clock)
         self._loads: dict[str, key_load.KeyLoad] = {}
         self._revoking_since_ns: dict[tuple[str, int], int] = {}
@@ -85,7 +91,6 @@
         self._last_error = ""
         self._proof_ns = 0
         self._lost_notified_ns = 0
-        self._sent_revision = 0
         # (version, write time in ns) of this term, oldest first. Versions
         # before the first entry are past the move cooldown.
         self._written_versions: collections.deque[tuple[int, int]] = (
@@ -158,9 +163,7 @@
         self._written_versions.clear()
         self._first_version = self._state.key_map.version
         _logger.info("became coordinator, term %d", term)
-        for entry in self._state.entries.values():
-            if entry.vm != self._vm:
-                gevent.spawn(self._notify, entry.vm)
+        self._notices.notify(list(self._state.entries), term)
 
     def _record_report(self, sync: fleet_messages.Sync) -> None:
         self._peers.set_address(sync.vm, sync.address)
@@ -221,7 +224,7 @@
         )
         self._record_report(self._follower.make_report())
         self._notify_lost()
-        self._send_plan()
+        self._notices.send_plan()
         try:
             self._refresh_proof()
             self._decide()
@@ -256,8 +259,7 @@
             > LOST_NOTICE_INTERVAL_MS * _NS_PER_MS
         ):
             self._lost_notified_ns = now_ns
-            for vm in lost_vms:
-                gevent.spawn(self._notify, vm)
+            self._notices.notify(lost_vms, self._term)
 
     def _term_age_ms(self) -> float:
         return (self._clock.now_ns() - self._term_started_ns) / _NS_PER_MS
@@ -343,69 +345,8 @@
         self._written_versions.append((draft.version, sent_ns))
         self._follower.update_proof(draft.version, sent_ns)
         self._proof_ns = sent_ns
-        self._notify_map_change(key_map_module.diff(replaced, draft))
-
-    def _notify_map_change(self, change: key_map_module.MapChange) -> None:
-        """Notifies daemons of a new map.
-
-        In a fleet of more than MAX_NOTIFIED_VMS only the VMs whose keys or
-        holders change are notified; the others get the map with their next
-        report.
-        """
-        if len(self._directory.vms) <= MAX_NOTIFIED_VMS:
-            self._notify_all()
-            return
-        holders = self._state.key_map.holders
-        incarnation_ids = {
-            incarnation_id
-            for ranges in change.ranges.values()
-            for key_range in ranges
-            for incarnation_id in (key_range.holder, key_range.receiver)
-        }
-        incarnation_ids.update(holder.life for holder in change.holders)
-        for vm in {
-            holders[incarnation_id].vm
-            for incarnation_id in incarnation_ids
-            if incarnation_id in holders
-        }:
-            if vm != self._vm:
-                gevent.spawn(self._notify, vm)
-
-    def _send_plan(self) -> None:
-        """Sends a new plan to all daemons.
-
-        A daemon whose answers come late would wait twice as long if it had to
-        ask for the plan.
-        """
-        document = self._state.plan_document
-        if document is None or document.plan.revision == self._sent_revision:
-            return
-        self._sent_revision = document.plan.revision
-        update = fleet_messages.PlanUpdate(
-            document.plan.revision, document.content
-        )
-        for vm in self._directory.vms:
-            if vm != self._vm:
-                gevent.spawn(self._send, vm, update)
-
-    def _notify_all(self) -> None:
-        for vm in self._directory.vms:
-            if vm != self._vm:
-                gevent.spawn(self._notify, vm)
-
-    def _notify(self, vm: str) -> None:
-        """Asks a daemon to report, and so to fetch updates, immediately."""
-        notice = fleet_messages.Notice(
-            self._vm, self._follower.address, self._term
-        )
-        self._send(vm, notice)
-
-    def _send(self, vm: str, message: messages.Message) -> None:
-        """Sends a message; its receiver's next report makes up for a loss."""
-        try:
-            self._peers.call(vm, message, timeout_ms=NOTICE_TIMEOUT_MS)
-        except errors.PeerError as error:
-            _logger.debug("could not notify VM %s: %s", vm, error)
+        change = key_map_module.diff(replaced, draft)
+        self._notices.notify_of_map(change, self._term)
 
     def answer_notice(self, notice: fleet_messages.Notice) -> messages.Message:
         """Handles a notice; ignored if this coordinator's term is no older."""
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -13,6 +13,7 @@
 from primrosecross.domain.membership import follower
 from primrosecross.domain.operators import events
 from primrosecross.domain.ownership import election
+from primrosecross.domain.ownership import fleet_notices
 from primrosecross.domain.ownership import key_map
 from primrosecross.domain.ownership import lease_extension
 from primrosecross.domain.ownership import proof
@@ -168,7 +169,7 @@
 
     def test_in_a_large_fleet_only_affected_vms_are_notified_of_a_map(self):
         """Otherwise each of many moves in a large fleet notifies all VMs."""
-        others = [f"vm{n}" for n in range(range_coordinator.MAX_NOTIFIED_VMS)]
+        others = [f"vm{n}" for n in range(fleet_notices.MAX_NOTIFIED_VMS)]
         for vm in others:
             self.reports[vm] = fleet_fakes.sync(vm)
         self._run(4000, "b", "c", *others)
