--- a/review/harness.py
+++ b/review/harness.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 import json
 import os
@@ -431,7 +432,7 @@
         key = headers.get("shard-key", "")
         if self.vm.keyed and not self.holds(int(key)):
             return encode("HTTP/1.1 421 Misdirected Request", refused, b"")
-        if len(self.running) >= 15:
+        if len(self.running) >= self.vm.slots:
             return encode("HTTP/1.1 503 Busy", refused, b"")
         self.runs.append((request_id, self._record.now(), int(key or -1)))
         self._record.write(f"{self.id} runs {method} {target} {request_id}")
@@ -466,7 +467,7 @@
             "Address": f"127.0.0.1:{self.vm.ports['app']}",
             "Zone": "z",
             "Version": "v1",
-            "Slots": 15,
+            "Slots": self.vm.slots,
             "State": self.state,
             "ColdRemainingMs": 0,
             "Sequence": sequence,
@@ -603,6 +604,7 @@
         self._path.write_text(
             SETTINGS.format(vm=name, service=service, store=store, **self.ports)
         )
+        self.slots = 15
         self.daemon: subprocess.Popen | None = None
         self.worker: Worker | None = None
         self.started_s = 0.0
@@ -643,6 +645,21 @@
         return self._log.read_text(errors="replace")
 
 
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """What became of a request.
+
+    Attributes:
+        request_id: Its id.
+        status: Status of the answer, 0 without one.
+        retry_after_s: When the client may come again.
+    """
+
+    request_id: str
+    status: int
+    retry_after_s: float
+
+
 class Fleet:
     """A small deployment: a store, daemons and their workers."""
 
@@ -693,6 +710,13 @@
         await machine.worker.start()
 
     async def send(
+        self, machine: Machine, path: str, **options: object
+    ) -> tuple[str, int]:
+        """Sends a request as a client; returns its id and its status or 0."""
+        attempt = await self.ask(machine, path, **options)
+        return attempt.request_id, attempt.status
+
+    async def ask(
         self,
         machine: Machine,
         path: str,
@@ -701,8 +725,8 @@
         method: str = "GET",
         time_limit_ms: int = 2000,
         body: bytes = b"",
-    ) -> tuple[str, int]:
-        """Sends a request as a client; returns its id and its status or 0."""
+    ) -> "Attempt":
+        """Sends a request as a client and returns what became of it."""
         self._sent += 1
         request_id = f"r{self._sent}"
         self.senders[request_id] = machine.name
@@ -724,12 +748,14 @@
             body,
             time_limit_ms / 1000 + 0.5,
         )
-        status = 0 if answer is None else answer[0]
-        text = "" if answer is None else answer[2].decode(errors="replace")
-        self.record.write(
-            f"{request_id} answered {status} {text.strip()[:120]}"
-        )
-        return request_id, status
+        if answer is None:
+            self.record.write(f"{request_id} got no answer")
+            return Attempt(request_id, 0, 0.0)
+        status, fields, content = answer
+        text = content.decode(errors="replace").strip()[:120]
+        self.record.write(f"{request_id} answered {status} {text}")
+        retry_after_s = float(fields.get("retry-after", "0"))
+        return Attempt(request_id, status, retry_after_s)
 
     def stop(self) -> None:
         """Kills all daemons that it started, and waits for their ends."""
