--- a/review/harness.py
+++ b/review/harness.py
@@ -278,10 +278,12 @@
         return stored
 
 
-def config(version: int, keyed: bool, timeout_ms: int, attempts: int) -> dict:
-    """Returns a config with one service, `desk`."""
+def config(
+    version: int, keyed: bool, timeout_ms: int, attempts: int, files: int = 0
+) -> dict:
+    """Returns a config with the service `desk` and, if asked for, `files`."""
 
-    def rule(prefix: str, kind: str) -> dict:
+    def rule(prefix: str, kind: str, service: str = "desk") -> dict:
         return {
             "Name": prefix,
             "Kind": kind,
@@ -289,27 +291,26 @@
             "Priority": 1,
             "Match": {"PathPrefix": prefix},
             "Action": {
-                "Service": "desk",
+                "Service": service,
                 "TimeoutMs": timeout_ms,
                 "MaxAttempts": attempts,
             },
         }
 
-    cluster = {"Name": "desk", "HealthPath": "/healthz"}
+    rules = [rule("/book/", "unsafe"), rule("/look/", "safe")]
+    clusters = [{"Name": "desk", "HealthPath": "/healthz"}]
     if keyed:
-        cluster |= {"Sharded": True, "WarmS": 2.0}
+        clusters[0] |= {"Sharded": True, "WarmS": 2.0}
+    if files:
+        rules.append(rule("/file/", "upload", "files"))
+        clusters.append({"Name": "files", "HealthPath": "/healthz"})
     return {
         "Version": version,
-        "Listeners": [
-            {
-                "Host": HOST,
-                "Rules": [rule("/book/", "unsafe"), rule("/look/", "safe")],
-            }
-        ],
-        "Clusters": [cluster],
+        "Listeners": [{"Host": HOST, "Rules": rules}],
+        "Clusters": clusters,
         "Limits": {
             "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 8388608,
+            "MaxBodyBytes": 67108864,
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         },
@@ -671,22 +672,26 @@
         keyed: bool,
         timeout_ms: int,
         attempts: int = 2,
+        files: int = 0,
     ) -> None:
         self.record = record
         self._folder = tempfile.TemporaryDirectory()
         self._sent = 0
         self.senders: dict[str, str] = {}  # machine by request
         self.store = Store(free_ports(1)[0])
-        self.store.put("config", "main", config(1, keyed, timeout_ms, attempts))
+        self.store.put(
+            "config", "main", config(1, keyed, timeout_ms, attempts, files)
+        )
+        kinds = [("desk", keyed)] * count + [("files", False)] * files
         self.machines = [
             Machine(
                 f"vm-{number + 1}",
-                "desk",
-                keyed,
+                service,
+                service_keyed,
                 self.store.port,
                 self._folder.name,
             )
-            for number in range(count)
+            for number, (service, service_keyed) in enumerate(kinds)
         ]
         self.workers: list[Worker] = []
 
@@ -716,6 +721,13 @@
         attempt = await self.ask(machine, path, **options)
         return attempt.request_id, attempt.status
 
+    def next_id(self, machine: Machine) -> str:
+        """Returns the id of a new request of a client on a machine."""
+        self._sent += 1
+        request_id = f"r{self._sent}"
+        self.senders[request_id] = machine.name
+        return request_id
+
     async def ask(
         self,
         machine: Machine,
@@ -727,9 +739,7 @@
         body: bytes = b"",
     ) -> "Attempt":
         """Sends a request as a client and returns what became of it."""
-        self._sent += 1
-        request_id = f"r{self._sent}"
-        self.senders[request_id] = machine.name
+        request_id = self.next_id(machine)
         headers = {
             "Host": HOST,
             "Request-Id": request_id,
