Wait for ports that another socket uses

On one machine with many processes the system hands out such ports while a killed daemon is away.

Cause: each server was started once, and any error ended the process.

Change: each port of callers, target and readiness has a task that tries until it listens; the daemon is ready only once callers can connect. Other daemons learn the peer address from reports, so the next port of the range serves if nobody listens on the first; a listener there is a predecessor, which is waited for. Connections of our own set SO_REUSEADDR, so they never keep a port from being bound.

Result: test_process_start on the code before: the three cases with ports fail (exit code 1), now they pass.

--- a/primrosecross/adapters/http/http_client.py
+++ b/primrosecross/adapters/http/http_client.py
@@ -145,9 +145,7 @@
 
     def _connect(self) -> gevent_socket.socket:
         try:
-            sock = gevent_socket.create_connection(
-                self._address, timeout=CONNECT_TIMEOUT_S
-            )
+            sock = sockets.connect(self._address, timeout_s=CONNECT_TIMEOUT_S)
         except OSError as error:
             refused = isinstance(error, ConnectionRefusedError)
             error_type = (
@@ -269,9 +267,7 @@
     """Returns False only if "ip:port" refuses a connection."""
     host, _, port = address.rpartition(":")
     try:
-        gevent_socket.create_connection(
-            (host, int(port)), timeout=timeout_s
-        ).close()
+        sockets.connect((host, int(port)), timeout_s=timeout_s).close()
     except ConnectionRefusedError:
         return False
     except OSError:  # A slow or unreachable server may still listen.
--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -99,9 +99,18 @@
         """Port that the server listens on."""
         return self._server.server_port
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether callers can connect."""
+        return self._server.started
+
     def start(self) -> None:
-        """Starts listening; raises OSError if the port is in use."""
-        self._server.start()
+        """Starts listening; raises OSError if the port is in use.
+
+        Does nothing once the server was told to stop.
+        """
+        if not self.stopped_reading:
+            self._server.start()
 
     def stop(self) -> None:
         """Stops listening."""
--- a/primrosecross/adapters/http/target_http.py
+++ b/primrosecross/adapters/http/target_http.py
@@ -7,10 +7,10 @@
 import gevent
 import geventhttpclient
 from gevent import pool as gevent_pool
-from gevent import socket as gevent_socket
 from geventhttpclient import response as http_response
 
 from primrosecross.adapters import outcome_log
+from primrosecross.adapters import sockets
 from primrosecross.adapters.http import target_connection
 from primrosecross.adapters.http import target_response
 from primrosecross.domain import errors
@@ -125,9 +125,9 @@
         host, _, port = announcement.address.rpartition(":")
         for _ in range(LISTEN_CHECK_COUNT):
             try:
-                gevent_socket.create_connection(
+                sockets.connect(
                     (host, int(port)),
-                    timeout=target_connection.CONNECT_TIMEOUT_S,
+                    timeout_s=target_connection.CONNECT_TIMEOUT_S,
                 ).close()
             except ConnectionRefusedError:
                 return False
--- a/primrosecross/adapters/json_log.py
+++ b/primrosecross/adapters/json_log.py
@@ -51,6 +51,13 @@
     logging.WARNING: 10,
     logging.ERROR: 10,
 }
+# For daemons that log each request that failed.
+FLEET_LIMITS = {
+    logging.DEBUG: 0,
+    logging.INFO: 200,
+    logging.WARNING: 1000,
+    logging.ERROR: 1000,
+}
 
 
 class JsonFormatter(logging.Formatter):
--- a/primrosecross/adapters/peers/peer_streams.py
+++ b/primrosecross/adapters/peers/peer_streams.py
@@ -15,6 +15,7 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import loop_lateness
+from primrosecross.adapters import sockets
 from primrosecross.adapters.peers import peer_connection
 from primrosecross.adapters.peers import peer_greeting
 from primrosecross.adapters.peers import peer_link
@@ -79,7 +80,7 @@
         self,
         *,
         hello: stream_messages.Hello,
-        listen: tuple[str, int],
+        listen: tuple[str, int] | gevent_socket.socket,
         stamps: stamp.StampClock,
         record: Callable[[events.Event], None] = lambda event: None,
         tls: SocketWrapper | None = None,
@@ -209,8 +210,8 @@
                 f"the address of {vm} is unknown",
                 remedy="retry once the assignment includes it",
             )
-        sock = gevent_socket.create_connection(
-            addresses.parse(address), timeout=CONNECT_TIMEOUT_S
+        sock = sockets.connect(
+            addresses.parse(address), timeout_s=CONNECT_TIMEOUT_S
         )
         connection = self._make_connection(sock, lane)
         gevent.spawn(connection.run)
--- a/primrosecross/adapters/sockets.py
+++ b/primrosecross/adapters/sockets.py
@@ -12,6 +12,41 @@
 YIELD_BYTES = 256 * 1024
 
 
+def connect(
+    address: tuple[str, int], *, timeout_s: float
+) -> gevent_socket.socket:
+    """Connects to an address by TCP.
+
+    The system may choose a local port that another process is about to listen
+    on. With SO_REUSEADDR, that process still can.
+
+    Args:
+        address: Host and port.
+        timeout_s: Maximum time to wait; the socket keeps it as its timeout.
+
+    Raises:
+        OSError: No connection was made in time.
+    """
+    last_error: OSError | None = None
+    for family, kind, protocol, _, resolved in gevent_socket.getaddrinfo(
+        *address, type=socket.SOCK_STREAM
+    ):
+        sock = gevent_socket.socket(family, kind, protocol)
+        try:
+            sock.settimeout(timeout_s)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.connect(resolved)
+        except OSError as error:
+            last_error = error
+            sock.close()
+        except BaseException:
+            sock.close()
+            raise
+        else:
+            return sock
+    raise last_error or OSError(f"no address for {address[0]}")
+
+
 def peek(sock: gevent_socket.socket) -> bytes | None:
     """Returns the next unread byte without consuming it.
 
@@ -56,6 +91,8 @@
     The system has accepted them for the server, and closing the listening
     socket would reset them.
     """
+    if not server.started:
+        return
     server.stop_accepting()
     while not server.full() and (accepted := server.do_read()):
         server.do_handle(*accepted)
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -1,23 +1,24 @@
 """The daemon on the platform: wires the adapters to the domain."""
 
-import logging
 import os
 import pathlib
-import signal
 import uuid
 
 import gevent
-from gevent import event as gevent_event
+from gevent import socket as gevent_socket
 
 from primrosecross.adapters import boot_clock
 from primrosecross.adapters import fleet_metrics
+from primrosecross.adapters import fleet_process
 from primrosecross.adapters import fleet_repository
 from primrosecross.adapters import fleet_shutdown
 from primrosecross.adapters import json_log
+from primrosecross.adapters import listeners
 from primrosecross.adapters import settings_watch
 from primrosecross.adapters.http import http_connection
 from primrosecross.adapters.http import http_parser
 from primrosecross.adapters.http import key_calls_http
+from primrosecross.adapters.http import ready_http
 from primrosecross.adapters.peers import peer_streams
 from primrosecross.domain import errors
 from primrosecross.domain import fleet_node
@@ -40,15 +41,6 @@
 DEFAULT_MAX_BUFFERED_BYTES = 32 << 20
 READY_PATH = "/api/readyz"
 METRICS_PATH = "/metrics"
-# Log lines per window; failures are never dropped before successes are.
-LOG_LIMITS = {
-    logging.DEBUG: 0,
-    logging.INFO: 200,
-    logging.WARNING: 1000,
-    logging.ERROR: 1000,
-}
-
-_logger = logging.getLogger(__name__)
 
 
 class Daemon:
@@ -57,13 +49,17 @@
     Args:
         settings: Settings of the daemon.
         path: Settings file, which is polled for changes.
+        peer_listener: Socket that listens for other daemons.
     """
 
     def __init__(
-        self, settings: settings_module.PlatformSettings, path: pathlib.Path
+        self,
+        settings: settings_module.PlatformSettings,
+        path: pathlib.Path,
+        peer_listener: gevent_socket.socket,
     ) -> None:
         self._settings = settings
-        self.settings_watch = settings_watch.SettingsWatch(
+        self._settings_watch = settings_watch.SettingsWatch(
             load=lambda: settings_module.load(path),
             settings=settings,
             live_fields=settings_module.LIVE_FIELDS,
@@ -74,7 +70,7 @@
             vm=settings.vm,
             place=settings.place,
             region="",
-            peer_address=settings.peer_address,
+            peer_address="{}:{}".format(*peer_listener.getsockname()),
             incarnation=uuid.uuid4().hex[:16],
         )
         stamps = stamp.StampClock(clock=clock)
@@ -91,7 +87,7 @@
                 incarnation=identity.incarnation,
                 lane=stream_messages.Lane.CONTROL,
             ),
-            listen=addresses.parse(settings.peer_address),
+            listen=peer_listener,
             stamps=stamps,
             record=timeline.record,
         )
@@ -159,41 +155,41 @@
         )
         self._ready_server = http_connection.HttpServer(
             listen=addresses.parse(settings.ready_address),
-            handle=self._handle_ready,
+            handle=ready_http.ReadyHandler(
+                ready_path=READY_PATH,
+                metrics_path=METRICS_PATH,
+                is_ready=self._is_ready,
+                metrics_text=self._metrics.text,
+            ).handle,
         )
 
-    def _handle_ready(
-        self, http_request: http_parser.HttpRequest
-    ) -> http_connection.HttpReply:
-        path = http_request.target.partition("?")[0]
-        if path == READY_PATH:
-            status = 200 if self._node.is_ready() else 503
-            return http_connection.HttpReply(status)
-        if path == METRICS_PATH:
-            return http_connection.HttpReply(200, [], self._metrics.text())
-        return http_connection.HttpReply(404)
+    def _is_ready(self) -> bool:
+        return self._caller_server.is_listening and self._node.is_ready()
 
     def start(self) -> None:
-        """Starts the servers and all tasks.
-
-        Raises:
-            OSError: A port is in use.
-        """
+        """Starts all tasks, and each server once its port can be had."""
         self._peers.start()
-        self._ready_server.start()
-        self._control_server.start()
-        self._caller_server.start()
+        for server, purpose in (
+            (self._ready_server, "readiness checks"),
+            (self._control_server, "the target"),
+            (self._caller_server, "callers"),
+        ):
+            gevent.spawn(listeners.start, server.start, purpose=purpose)
         self._node.start()
-        gevent.spawn(self.settings_watch.run)
+        gevent.spawn(self._settings_watch.run)
         gevent.spawn(self._metrics.log_periodically)
 
+    def reload(self) -> None:
+        """Reads the settings again."""
+        self._settings_watch.reload()
+
     def stop(self) -> None:
         """Stops admission, waits for requests in flight, stops listening."""
         fleet_shutdown.run(
             node=self._node,
             callers=self._caller_server,
             peers=self._peers,
-            limit_ms=self.settings_watch.settings.stop_limit_ms,
+            limit_ms=self._settings_watch.settings.stop_limit_ms,
             clock=self._clock,
         )
 
@@ -220,20 +216,15 @@
         return 2
     handler = json_log.BufferedHandler(1)
     json_log.configure(
-        vm=settings.vm, level="INFO", handler=handler, limits=LOG_LIMITS
+        vm=settings.vm,
+        level="INFO",
+        handler=handler,
+        limits=json_log.FLEET_LIMITS,
     )
-    daemon = Daemon(settings, path)
-    daemon.start()
-    _logger.info(
-        "started on VM %s for a target of service %s",
-        settings.vm,
-        settings.service,
+    fleet_process.run(
+        lambda listener: Daemon(settings, path, listener),
+        peer_address=settings.peer_address,
+        last_peer_port=settings.last_peer_port,
     )
-    stopping = gevent_event.Event()
-    gevent.signal_handler(signal.SIGTERM, stopping.set)
-    gevent.signal_handler(signal.SIGINT, stopping.set)
-    gevent.signal_handler(signal.SIGHUP, daemon.settings_watch.reload)
-    stopping.wait()
-    daemon.stop()
     handler.flush()
     return 0
--- /dev/null
+++ b/tests/test_process_start.py
@@ -0,0 +1,124 @@
+"""Starts of daemon processes under odd conditions, with the real program.
+
+Guards against processes that end by themselves while they start.
+"""
+
+import pathlib
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+
+from standins import ports
+from standins import sidecars
+
+READY_TIMEOUT_S = 20.0
+RUNS_FOR_S = 1.0
+SIGNAL_DELAYS_S = (0.1, 0.15, 0.2, 0.3, 0.45)
+
+
+class StartTest(unittest.TestCase):
+    """One VM, whose daemon is started under odd conditions."""
+
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
+        self.fleet = sidecars.Sidecars(
+            services=["desk"], directory=self.directory
+        )
+        self.addCleanup(self.fleet.stop)
+        self.vm = self.fleet.vms[0]
+        self.fleet.group.log(f"{self.vm.vm}-daemon").touch()
+        self.settings = self.directory / f"{self.vm.vm}.toml"
+
+    def _assert_runs(self, process: subprocess.Popen) -> None:
+        """Waits until all ports of the daemon listen."""
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        for endpoint in ("ready", "control", "outbound", "peer"):
+            while not _listens(self.vm.ports[endpoint]):
+                self.assertIsNone(process.poll(), self.fleet.log(self.vm))
+                self.assertLess(
+                    time.monotonic(), deadline_s, self.fleet.log(self.vm)
+                )
+                time.sleep(0.05)
+        time.sleep(RUNS_FOR_S)
+        self.assertIsNone(process.poll(), self.fleet.log(self.vm))
+
+    def _start(self) -> subprocess.Popen:
+        self.fleet.start_daemon(self.vm)
+        return self.vm.daemon
+
+    # A port that an outgoing connection uses ended each start of the process.
+    def test_ports_of_outgoing_connections_are_waited_for(self):
+        for endpoint in ("ready", "control", "outbound"):
+            with self.subTest(endpoint=endpoint):
+                connection = _connect_from(self.vm.ports[endpoint])
+                process = self._start()
+                time.sleep(RUNS_FOR_S)
+                self.assertIsNone(process.poll(), self.fleet.log(self.vm))
+                self.assertIn("cannot listen for", self.fleet.log(self.vm))
+                connection.close()
+                self._assert_runs(process)
+                process.kill()
+                process.wait()
+
+    # A predecessor that still ends held the ports, which ended each start.
+    def test_ports_of_a_predecessor_are_waited_for(self):
+        predecessor = self._start()
+        self._assert_runs(predecessor)
+        process = self._start()
+        time.sleep(RUNS_FOR_S)
+        self.assertIsNone(process.poll(), self.fleet.log(self.vm))
+        predecessor.kill()
+        predecessor.wait()
+        self._assert_runs(process)
+
+    # A daemon whose peer port was taken could not be reached by others.
+    def test_peer_port_in_use_is_replaced_by_another_of_the_range(self):
+        taken, free = _neighbours()
+        self.addCleanup(ports.release, [taken, free])
+        text = self.settings.read_text()
+        peer = self.vm.ports["peer"]
+        self.settings.write_text(
+            text.replace(f"[{peer}, {peer}]", f"[{taken}, {free}]")
+        )
+        connection = _connect_from(taken)
+        self.addCleanup(connection.close)
+        self.vm.ports["peer"] = free
+        self._assert_runs(self._start())
+
+
+def _listens(port: int) -> bool:
+    try:
+        socket.create_connection(("127.0.0.1", port), timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+def _connect_from(port: int) -> socket.socket:
+    """Returns a connection whose local port is the given one."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        sock = socket.socket()
+        # The port is held by the test without SO_REUSEADDR on this socket,
+        # so the daemon cannot bind it before the connection is closed.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(("127.0.0.1", port))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
+        sock.connect(server.getsockname())
+        return sock
+
+
+def _neighbours() -> tuple[int, int]:
+    """Returns two adjacent ports that are free."""
+    while True:
+        first, second = ports.choose_free(2)
+        if second == first + 1:
+            return first, second
+        ports.release([first, second])
+
+
+if __name__ == "__main__":
+    unittest.main()
