Hold signals until a starting daemon has handlers for them

Cause: the handlers were installed last, after imports, settings, ports and tasks; until then both signals have their default action. A platform that tells all its processes of changed settings meets those that are starting.

Change: the entry point blocks the signals before it imports anything else, and each is unblocked once its handler is there, so a signal that came earlier takes effect then. SIGTERM also ends the wait for a port.

Not covered: the start of the interpreter itself, about 50 ms here.

--- a/primrosecross/adapters/fleet_process.py
+++ b/primrosecross/adapters/fleet_process.py
@@ -10,6 +10,7 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import listeners
+from primrosecross.adapters import process_start
 from primrosecross.models import addresses
 
 _logger = logging.getLogger(__name__)
@@ -44,6 +45,7 @@
     stopping = gevent_event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
+    process_start.deliver_signals(signal.SIGTERM, signal.SIGINT)
     host, first_port = addresses.parse(peer_address)
     ports = range(first_port, last_peer_port + 1)
     listener = listeners.bind_first(host, ports, stopping=stopping)
@@ -51,6 +53,7 @@
         return
     daemon = create(listener)
     gevent.signal_handler(signal.SIGHUP, daemon.reload)
+    process_start.deliver_signals(signal.SIGHUP)
     daemon.start()
     _logger.info("started")
     stopping.wait()
--- a/primrosecross/platform/__main__.py
+++ b/primrosecross/platform/__main__.py
@@ -1,12 +1,14 @@
 """Entry point of a daemon on the platform."""
 
 import os
-import sys
 
-from primrosecross.platform import daemon
+from primrosecross.adapters import process_start
+
+process_start.hold_signals()
+
+from primrosecross.platform import daemon  # noqa: E402 - takes a while
 
 exit_code = daemon.main()
-sys.stdout.flush()
 # Skips interpreter finalization, which on a slow VM takes longer than the stop
 # limit allows.
 os._exit(exit_code)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -4,6 +4,7 @@
 """
 
 import pathlib
+import signal
 import socket
 import subprocess
 import tempfile
@@ -50,6 +51,26 @@
         self.fleet.start_daemon(self.vm)
         return self.vm.daemon
 
+    # A signal before the handlers are installed ended the process.
+    def test_hangup_during_the_start_does_not_end_the_process(self):
+        for delay_s in SIGNAL_DELAYS_S:
+            with self.subTest(delay_s=delay_s):
+                process = self._start()
+                time.sleep(delay_s)
+                process.send_signal(signal.SIGHUP)
+                self._assert_runs(process)
+                process.kill()
+                process.wait()
+
+    # A stop during the start ended the process by the signal.
+    def test_stop_during_the_start_is_a_stop(self):
+        for delay_s in SIGNAL_DELAYS_S:
+            with self.subTest(delay_s=delay_s):
+                process = self._start()
+                time.sleep(delay_s)
+                process.terminate()
+                self.assertEqual(process.wait(READY_TIMEOUT_S), 0)
+
     # A port that an outgoing connection uses ended each start of the process.
     def test_ports_of_outgoing_connections_are_waited_for(self):
         for endpoint in ("ready", "control", "outbound"):
