Open closed standard streams when a daemon starts

Seen: a daemon started with standard output closed ends with code 1 (OSError, then AttributeError, in BufferedHandler).

Cause: descriptor 1 was taken for open. Were it not for that error, the first socket would have got the descriptor, and log lines would have been written to a connection.

Change: descriptors 0 to 2 that are closed get the null device first.

Result: test_process_start, with output closed and with all three closed: fails on the code before, passes now.

--- a/primrosecross/adapters/process_start.py
+++ b/primrosecross/adapters/process_start.py
@@ -4,9 +4,17 @@
 a process at any moment of its start.
 """
 
+import os
 import signal
 
 HELD_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+_STANDARD_DESCRIPTORS = (0, 1, 2)
+
+
+def prepare() -> None:
+    """Holds signals, and opens the standard streams that are closed."""
+    hold_signals()
+    open_standard_streams()
 
 
 def hold_signals() -> None:
@@ -17,3 +25,17 @@
 def deliver_signals(*numbers: signal.Signals) -> None:
     """Delivers held signals, which have handlers now, and those to come."""
     signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
+
+
+def open_standard_streams() -> None:
+    """Opens the null device in place of closed standard streams.
+
+    Otherwise the first sockets get their descriptors, and log lines are written
+    to connections.
+    """
+    for descriptor in _STANDARD_DESCRIPTORS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest descriptor that is free is this one.
+            os.open(os.devnull, os.O_RDWR)
--- a/primrosecross/platform/__main__.py
+++ b/primrosecross/platform/__main__.py
@@ -4,7 +4,7 @@
 
 from primrosecross.adapters import process_start
 
-process_start.hold_signals()
+process_start.prepare()
 
 from primrosecross.platform import daemon  # noqa: E402 - takes a while
 
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -3,10 +3,12 @@
 Guards against processes that end by themselves while they start.
 """
 
+import os
 import pathlib
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import unittest
@@ -110,6 +112,32 @@
         self.vm.ports["peer"] = free
         self._assert_runs(self._start())
 
+    # Log lines went to the first connection that got the descriptor.
+    def test_closed_standard_streams_are_no_connections(self):
+        for closed in ((1,), (0, 1, 2)):
+            with self.subTest(closed=closed):
+                redirections = " ".join(f"{n}>&-" for n in closed)
+                process = subprocess.Popen(
+                    [
+                        "sh",
+                        "-c",
+                        f'exec "$0" -m primrosecross.platform {redirections}',
+                        sys.executable,
+                    ],
+                    env={
+                        **os.environ,
+                        "PRIMROSECROSS_NODE_FILE": str(self.settings),
+                    },
+                )
+                self.addCleanup(process.wait)
+                self.addCleanup(process.kill)
+                self._assert_runs(process)
+                for descriptor in closed:
+                    target = os.readlink(f"/proc/{process.pid}/fd/{descriptor}")
+                    self.assertEqual(target, os.devnull)
+                process.kill()
+                process.wait()
+
 
 def _listens(port: int) -> bool:
     try:
