--- a/primrosecross/adapters/settings_watch.py
+++ b/primrosecross/adapters/settings_watch.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -10,10 +11,38 @@
 from primrosecross.domain import errors
 
 POLL_INTERVAL_S = 2.0
+START_LIMIT_S = 2.0  # for a file that is still being written
+START_INTERVAL_S = 0.1
 
 _logger = logging.getLogger(__name__)
 
 
+def load_at_start(
+    load: Callable[[], Any], *, limit_s: float = START_LIMIT_S
+) -> Any:
+    """Reads the settings, again and again while they are invalid.
+
+    Args:
+        load: Reads them; raises errors.SettingsError if they are invalid.
+        limit_s: Time after which an error is final.
+
+    Raises:
+        errors.SettingsError: The settings are invalid after limit_s.
+    """
+    started_s = time.monotonic()
+    last_error = ""
+    while True:
+        try:
+            return load()
+        except errors.SettingsError as error:
+            if time.monotonic() - started_s >= limit_s:
+                raise
+            if str(error) != last_error:
+                _logger.warning("cannot start yet: %s", error)
+            last_error = str(error)
+        gevent.sleep(START_INTERVAL_S)
+
+
 class SettingsWatch:
     """Reads the settings again after a signal, and periodically.
 
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -210,7 +210,9 @@
     """Runs the daemon until SIGTERM; returns the exit code."""
     path = pathlib.Path(os.environ.get(settings_module.FILE_VARIABLE, ""))
     try:
-        settings = settings_module.load(path)
+        settings = settings_watch.load_at_start(
+            lambda: settings_module.load(path)
+        )
     except errors.SettingsError as error:
         print(error, flush=True)
         return 2
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -138,6 +138,20 @@
                 process.kill()
                 process.wait()
 
+    # A settings file that was still being written ended the process.
+    def test_settings_written_during_the_start_are_awaited(self):
+        text = self.settings.read_text()
+        self.settings.write_text(text[: len(text) // 2])
+        process = self._start()
+        time.sleep(RUNS_FOR_S)
+        self.settings.write_text(text)
+        self._assert_runs(process)
+
+    def test_invalid_settings_end_the_process_with_a_message(self):
+        self.settings.write_text("[Self]")
+        self.assertEqual(self._start().wait(READY_TIMEOUT_S), 2)
+        self.assertIn("set PRIMROSECROSS_NODE_FILE", self.fleet.log(self.vm))
+
 
 def _listens(port: int) -> bool:
     try:
