Own daemon: wait for ports, outlive SIGHUP

Seen: the product's own daemon, started while another socket holds a port, ends with code 3 at once; SIGHUP ends it at any time with the requests it has accepted.

Change: each port is tried for 5 s, then the daemon ends with the message and code as before. Handlers are installed before the ports listen. SIGHUP is logged with its remedy.

--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -19,6 +19,7 @@
 
 from primrosecross.adapters import boot_clock  # noqa: E402
 from primrosecross.adapters import json_log  # noqa: E402
+from primrosecross.adapters import listeners  # noqa: E402
 from primrosecross.adapters import object_repository  # noqa: E402
 from primrosecross.adapters import object_store  # noqa: E402
 from primrosecross.adapters import operator_access  # noqa: E402
@@ -41,6 +42,7 @@
 SEED_RETRY_INTERVAL_S = 1.0
 EXIT_INVALID = 2
 EXIT_PORT_IN_USE = 3
+PORT_LIMIT_S = 5.0  # for a predecessor that has not ended yet
 EXIT_REQUESTS_ABORTED = 4
 
 _logger = logging.getLogger(__name__)
@@ -179,12 +181,16 @@
             OSError: A port is already in use.
             errors.SettingsError: A certificate file cannot be read.
         """
-        self.peers.start()
-        self._announce_server.start()
-        self._operator_server.start()
-        self._caller_server.start()
+        servers = {
+            "other daemons": self.peers,
+            "targets": self._announce_server,
+            "operators": self._operator_server,
+            "callers": self._caller_server,
+        }
         if self._metrics_server is not None:
-            self._metrics_server.start()
+            servers["scrapes of the metrics"] = self._metrics_server
+        for purpose, server in servers.items():
+            listeners.start(server.start, purpose=purpose, limit_s=PORT_LIMIT_S)
         try:
             self.node.sync.read_store()
         except errors.StoreError as error:
@@ -283,6 +289,15 @@
 def _serve(settings: settings_model.Settings) -> None:
     json_log.configure(vm=settings.vm, level=settings.log_level)
     grpc_gevent.init_gevent()
+    stop_requested = gevent_event.Event()
+    abort_requested = gevent_event.Event()
+
+    def on_signal() -> None:
+        (abort_requested if stop_requested.is_set() else stop_requested).set()
+
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(signal_number, on_signal)
+    gevent.signal_handler(signal.SIGHUP, _log_hangup)
     daemon = Daemon(settings)
     try:
         daemon.start()
@@ -293,14 +308,6 @@
         )
     except errors.SettingsError as error:
         _exit_with_error(EXIT_INVALID, str(error))
-    stop_requested = gevent_event.Event()
-    abort_requested = gevent_event.Event()
-
-    def on_signal() -> None:
-        (abort_requested if stop_requested.is_set() else stop_requested).set()
-
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signal_number, on_signal)
     stop_requested.wait()
     aborted_count = daemon.drain(
         limit_ms=settings.stop_limit_ms, should_abort=abort_requested.is_set
@@ -309,6 +316,12 @@
     sys.exit(EXIT_REQUESTS_ABORTED if aborted_count else 0)
 
 
+def _log_hangup() -> None:
+    _logger.warning(
+        "SIGHUP changes nothing; restart the daemon to apply new settings"
+    )
+
+
 def _exit_with_error(code: int, text: str) -> NoReturn:
     """Prints a one-line error and exits with the code."""
     typer.echo(text, err=True)
--- /dev/null
+++ b/tests/test_process_start_own.py
@@ -0,0 +1,101 @@
+"""Starts of the product's own daemon on ports that are in use, and SIGHUP.
+
+Guards against processes that end by themselves.
+"""
+
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+
+from standins import fleet
+from standins import ports
+
+VM = "vm-0"
+HELD_S = 1.5
+RUNS_FOR_S = 0.5
+EXIT_PORT_IN_USE = 3
+START_TIMEOUT_S = 20.0
+ENDPOINTS = ("peer", "announce", "operator", "caller")
+
+
+class OwnStartTest(unittest.TestCase):
+    """One VM, whose daemon is started while a port is in use."""
+
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.fleet = fleet.Fleet(
+            vms=[fleet.Vm(VM, "zone", "region", "desk")],
+            directory=pathlib.Path(directory.name),
+        )
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start_platform()
+
+    def _start(self) -> subprocess.Popen:
+        self.fleet.start_daemon(VM)
+        return self.fleet.processes[f"{VM}-daemon"]
+
+    def _log(self) -> str:
+        return self.fleet.log(f"{VM}-daemon").read_text()
+
+    def _assert_runs(self, process: subprocess.Popen) -> None:
+        for endpoint in ENDPOINTS:
+            ports.await_listener(
+                self.fleet.port(VM, endpoint), timeout_s=START_TIMEOUT_S
+            )
+        time.sleep(RUNS_FOR_S)
+        self.assertIsNone(process.poll(), self._log())
+
+    # A port that its predecessor still held ended the process.
+    def test_port_that_becomes_free_is_waited_for(self):
+        for endpoint in ENDPOINTS:
+            with self.subTest(endpoint=endpoint):
+                listener = _listen(self.fleet.port(VM, endpoint))
+                process = self._start()
+                _await_line(self.fleet.log(f"{VM}-daemon"), "cannot listen")
+                time.sleep(HELD_S)
+                self.assertIsNone(process.poll(), self._log())
+                listener.close()
+                self._assert_runs(process)
+                process.kill()
+                process.wait()
+                self.fleet.log(f"{VM}-daemon").unlink()
+
+    def test_port_that_stays_in_use_ends_the_process_with_its_code(self):
+        listener = _listen(self.fleet.port(VM, "caller"))
+        self.addCleanup(listener.close)
+        process = self._start()
+        self.assertEqual(process.wait(START_TIMEOUT_S), EXIT_PORT_IN_USE)
+        self.assertIn("free the port or change the settings", self._log())
+
+    # SIGHUP ended the process, and with it the requests that it had accepted.
+    def test_hangup_does_not_end_the_process(self):
+        process = self._start()
+        self._assert_runs(process)
+        process.send_signal(signal.SIGHUP)
+        self._assert_runs(process)
+        self.assertIn("SIGHUP changes nothing", self._log())
+
+
+def _listen(port: int) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", port))
+    sock.listen()
+    return sock
+
+
+def _await_line(log: pathlib.Path, text: str) -> None:
+    deadline_s = time.monotonic() + START_TIMEOUT_S
+    while text not in log.read_text():
+        if time.monotonic() > deadline_s:
+            raise TimeoutError(f"no line {text!r} in: {log.read_text()}")
+        time.sleep(0.05)
+
+
+if __name__ == "__main__":
+    unittest.main()
