Connect without a thread for each lookup, which filled the address space

Seen: daemons whose address space is limited to their 300 MB abort under plain load, without any disruption (FAULT), and requests that they had read end without an answer (LOST).

Cause: gevent's create_connection looks up even an IP address in a pool of up to ten threads. At the limit no thread, and then no memory at all, can be had; greenlet ends the process when it cannot save a stack ("Failed low-level slp_switch()").

Change: connections are made to IP addresses directly, as all addresses are validated to be such.

--- a/primrosecross/adapters/sockets.py
+++ b/primrosecross/adapters/sockets.py
@@ -15,36 +15,28 @@
 def connect(
     address: tuple[str, int], *, timeout_s: float
 ) -> gevent_socket.socket:
-    """Connects to an address by TCP.
+    """Connects to an IP address by TCP.
 
     The system may choose a local port that another process is about to listen
     on. With SO_REUSEADDR, that process still can.
 
     Args:
-        address: Host and port.
+        address: IP address and port; a name would need a resolver's thread.
         timeout_s: Maximum time to wait; the socket keeps it as its timeout.
 
     Raises:
         OSError: No connection was made in time.
     """
-    last_error: OSError | None = None
-    for family, kind, protocol, _, resolved in gevent_socket.getaddrinfo(
-        *address, type=socket.SOCK_STREAM
-    ):
-        sock = gevent_socket.socket(family, kind, protocol)
-        try:
-            sock.settimeout(timeout_s)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.connect(resolved)
-        except OSError as error:
-            last_error = error
-            sock.close()
-        except BaseException:
-            sock.close()
-            raise
-        else:
-            return sock
-    raise last_error or OSError(f"no address for {address[0]}")
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = gevent_socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(timeout_s)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.connect(address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
 
 
 def peek(sock: gevent_socket.socket) -> bytes | None:
