Restart the watch of the settings if it fails; validate the last peer port

The task that reads the settings again ended for good with an unexpected error. The end of the port range is validated like the other addresses.

--- a/primrosecross/adapters/fleet_process.py
+++ b/primrosecross/adapters/fleet_process.py
@@ -33,21 +33,22 @@
     create: Callable[[gevent_socket.socket], Daemon],
     *,
     peer_address: str,
-    last_peer_port: int,
+    last_peer_address: str,
 ) -> None:
     """Runs a daemon until SIGTERM or SIGINT.
 
     Args:
         create: Returns the daemon, given the socket that listens for others.
         peer_address: Where other daemons connect, if the port is free.
-        last_peer_port: Last of the ports that may be used instead.
+        last_peer_address: The last of those that may be used instead.
     """
     stopping = gevent_event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
     process_start.deliver_signals(signal.SIGTERM, signal.SIGINT)
     host, first_port = addresses.parse(peer_address)
-    ports = range(first_port, last_peer_port + 1)
+    _, last_port = addresses.parse(last_peer_address)
+    ports = range(first_port, max(first_port, last_port) + 1)
     listener = listeners.bind_first(host, ports, stopping=stopping)
     if listener is None:
         return
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -24,6 +24,7 @@
 from primrosecross.domain import fleet_node
 from primrosecross.domain import stamp
 from primrosecross.domain import stream_messages
+from primrosecross.domain import tasks
 from primrosecross.domain.membership import membership
 from primrosecross.domain.operators import events
 from primrosecross.domain.operators import meter as meter_module
@@ -176,8 +177,8 @@
         ):
             gevent.spawn(listeners.start, server.start, purpose=purpose)
         self._node.start()
-        gevent.spawn(self._settings_watch.run)
-        gevent.spawn(self._metrics.log_periodically)
+        loops = (self._settings_watch.run, self._metrics.log_periodically)
+        tasks.start(loops, clock=self._clock)
 
     def reload(self) -> None:
         """Reads the settings again."""
@@ -226,7 +227,7 @@
     fleet_process.run(
         lambda listener: Daemon(settings, path, listener),
         peer_address=settings.peer_address,
-        last_peer_port=settings.last_peer_port,
+        last_peer_address=settings.last_peer_address,
     )
     handler.flush()
     return 0
--- a/primrosecross/platform/settings.py
+++ b/primrosecross/platform/settings.py
@@ -96,7 +96,7 @@
         ready_address: Where readiness and metrics are served.
         heartbeat_address: Where the target sends its heartbeats.
         peer_address: Where other daemons connect, if the port is free.
-        last_peer_port: Last of the ports that may be used instead.
+        last_peer_address: The last of those that may be used instead.
         store_address: Address of the platform's store.
         stop_limit_ms: Time from SIGTERM to SIGKILL.
         max_hold_ms: Longest duration of a key grant.
@@ -115,7 +115,7 @@
     ready_address: str
     heartbeat_address: str
     peer_address: str
-    last_peer_port: int
+    last_peer_address: str
     store_address: str
     stop_limit_ms: int
     max_hold_ms: int
@@ -133,12 +133,10 @@
         errors.SettingsError: The file cannot be read or is invalid.
     """
     try:
-        document = documents.decode_toml(path.read_bytes(), _File)
-        settings = _to_settings(document)
+        settings = _to_settings(documents.decode_toml(path.read_bytes(), _File))
         for name, value in dataclasses.asdict(settings).items():
             if name.endswith("_address"):
                 addresses.parse(value)
-        addresses.parse(f"{document.own.ip}:{settings.last_peer_port}")
         return settings
     except (OSError, ValueError) as error:
         raise errors.SettingsError(
@@ -157,7 +155,7 @@
         ready_address=document.network.listen.ready,
         heartbeat_address=document.network.listen.control,
         peer_address=f"{document.own.ip}:{document.network.port_range[0]}",
-        last_peer_port=document.network.port_range[1],
+        last_peer_address=f"{document.own.ip}:{document.network.port_range[1]}",
         store_address=document.platform.platform.address,
         stop_limit_ms=int(document.terms.bounds.grace_s * 1000),
         max_hold_ms=int(document.terms.bounds.hold_max_ms),
