Withdraw a message before saying that it is unsent

It waited in the queue of a connection that stood still; the connection was replaced, the call failed as not sent, and when the old connection went on its writer sent the message.

Cause: two flags of a call, set in several places. `Call.move` promised without setting `abandoned`, and the `finally` of `OutboundCalls.call` that would have done so found no entry, as `move` had taken the calls away. The same held for a peer that stops (`fail_unhandled`), whose own refusal to handle later calls was all that kept the promise, and for pieces of streamed bodies.

Change: a message is queued, on the wire or withdrawn, by two small tables in peer_message, the only place that knows. Moving, cancelling, deadline, drain, silence and close withdraw it first and promise only if that succeeded. The writer drops withdrawn messages, whose bytes are freed at once, and pieces whose message is withdrawn. A call is registered after its message is encoded, so that one that fails to encode is not left behind.

--- a/primrosecross/adapters/peers/peer_call.py
+++ b/primrosecross/adapters/peers/peer_call.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent import event as gevent_event
 
+from primrosecross.adapters.peers import peer_message
 from primrosecross.domain import errors
 from primrosecross.domain import stream_messages
 from primrosecross.ports import peers as peers_port
@@ -36,58 +37,47 @@
     """One pending call on a connection.
 
     Args:
+        message: Message of the call.
         request_id: ID of the request that it concerns; may be empty.
         patience: How long it waits for a silent peer.
 
     Attributes:
         started_s: Monotonic time at which the call began.
-        sent: Whether any byte of the message may have been sent.
-        abandoned: Whether the writer must drop the message unsent.
         answer: Result that holds the reply or the error.
     """
 
-    __slots__ = (
-        "abandoned",
-        "answer",
-        "patience",
-        "request_id",
-        "sent",
-        "started_s",
-    )
+    __slots__ = ("answer", "message", "patience", "request_id", "started_s")
 
     def __init__(
         self,
+        message: peer_message.OutgoingMessage,
         request_id: str = "",
         patience: peers_port.Patience = peers_port.Patience.UNTIL_SILENT,
     ) -> None:
+        self.message = message
         self.request_id = request_id
         self.patience = patience
         self.started_s = time.monotonic()
-        self.sent = False
-        self.abandoned = False
         self.answer = gevent_event.AsyncResult()
 
     def fail(self, problem: str) -> None:
-        """Fails the call, as no reply is expected any more."""
+        """Fails the call; if its message is unsent, it stays so."""
         self.answer.set_exception(self._make_error(problem))
 
     def fail_unhandled(self, problem: str) -> None:
-        """Fails the call, as the peer will not handle it."""
+        """Fails the call, as the peer handles no message of it."""
+        self.message.withdraw()
         self.answer.set_exception(
             errors.MessageNotSentError(
                 problem, remedy="retry once the peer is back"
             )
         )
 
-    def give_up(self, problem: str) -> None:
-        """Fails the call; if it is not sent yet, it never will be."""
-        self.abandoned = not self.sent
-        self.fail(problem)
-
     def move(self, moved: MovedError, problem: str) -> None:
         """Lets the caller reclaim the reply, or fails an unsent call."""
+        is_unsent = self.message.withdraw()
         self.answer.set_exception(
-            moved if self.sent else self._make_error(problem)
+            self._make_error(problem) if is_unsent else moved
         )
 
     def timeout_error(self, timeout_ms: int) -> errors.PeerError:
@@ -96,7 +86,9 @@
 
     def _make_error(self, problem: str) -> errors.PeerError:
         error_type = (
-            errors.ReplyLostError if self.sent else errors.MessageNotSentError
+            errors.MessageNotSentError
+            if self.message.withdraw()
+            else errors.ReplyLostError
         )
         return error_type(
             problem, remedy="check the peer and the network to it"
--- a/primrosecross/adapters/peers/peer_connection.py
+++ b/primrosecross/adapters/peers/peer_connection.py
@@ -16,13 +16,13 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters.peers import peer_body
-from primrosecross.adapters.peers import peer_call
 from primrosecross.adapters.peers import peer_codec
 from primrosecross.adapters.peers import peer_greeting
 from primrosecross.adapters.peers import peer_in_flight
 from primrosecross.adapters.peers import peer_inbound
 from primrosecross.adapters.peers import peer_liveness
 from primrosecross.adapters.peers import peer_loss
+from primrosecross.adapters.peers import peer_message
 from primrosecross.adapters.peers import peer_outbound
 from primrosecross.adapters.peers import peer_report
 from primrosecross.adapters.peers import peer_transit
@@ -115,8 +115,8 @@
         self._outbound = peer_outbound.OutboundCalls(
             in_flight=self._in_flight,
             post=self._post,
-            make_outgoing=lambda call, stream: self._make_outgoing(
-                call, False, stream
+            make_outgoing=lambda call, stream, head: self._make_outgoing(
+                call, False, stream, head
             ),
         )
         self._reporter = peer_report.Reporter(
@@ -349,12 +349,16 @@
         self._in_flight.handle_stream(message, (frame.call, frame.is_reply))
 
     def _make_outgoing(
-        self, call: int, is_reply: bool, source: body.Stream
+        self,
+        call: int,
+        is_reply: bool,
+        source: body.Stream,
+        head: peer_message.OutgoingMessage | None = None,
     ) -> peer_body.Outgoing:
         outgoing = peer_body.Outgoing(
             source=source,
             on_ready=functools.partial(
-                self._writer.enqueue_body, call, is_reply
+                self._writer.enqueue_body, call, is_reply, head
             ),
         )
         self._in_flight.outgoing[call, is_reply] = outgoing
@@ -363,15 +367,13 @@
         return outgoing
 
     def _post(
-        self,
-        call: int,
-        message: messages.Message,
-        *,
-        is_reply: bool,
-        pending_call: peer_call.Call | None = None,
-    ) -> None:
-        if not self.closed:
-            self._writer.enqueue_message(call, message, is_reply, pending_call)
+        self, call: int, message: messages.Message, *, is_reply: bool
+    ) -> peer_message.OutgoingMessage:
+        if self.closed:
+            return peer_message.OutgoingMessage(
+                b"", state=peer_message.State.WITHDRAWN
+            )
+        return self._writer.enqueue_message(call, message, is_reply)
 
     def call(
         self,
--- a/primrosecross/adapters/peers/peer_outbound.py
+++ b/primrosecross/adapters/peers/peer_outbound.py
@@ -12,6 +12,7 @@
 from primrosecross.adapters.peers import peer_body
 from primrosecross.adapters.peers import peer_call
 from primrosecross.adapters.peers import peer_in_flight
+from primrosecross.adapters.peers import peer_message
 from primrosecross.domain import messages
 from primrosecross.domain import stream_messages
 from primrosecross.domain.requests import body
@@ -21,7 +22,7 @@
 
 
 class PostCall(Protocol):
-    """Sends a message of a call."""
+    """Queues a message of a call."""
 
     def __call__(
         self,
@@ -29,9 +30,8 @@
         message: messages.Message,
         *,
         is_reply: bool,
-        pending_call: peer_call.Call | None = None,
-    ) -> None:
-        """Queues the message of a call; drops it if the call is abandoned."""
+    ) -> peer_message.OutgoingMessage:
+        """Queues a message, unless the connection is closed."""
 
 
 class OutboundCalls:
@@ -39,7 +39,7 @@
 
     Args:
         in_flight: What is in flight on the connection.
-        post: Sends a message of a call.
+        post: Queues a message of a call.
         make_outgoing: Returns the sender of a call's streamed body.
     """
 
@@ -48,7 +48,9 @@
         *,
         in_flight: peer_in_flight.InFlight,
         post: PostCall,
-        make_outgoing: Callable[[int, body.Stream], peer_body.Outgoing],
+        make_outgoing: Callable[
+            [int, body.Stream, peer_message.OutgoingMessage], peer_body.Outgoing
+        ],
     ) -> None:
         self._in_flight = in_flight
         self._post = post
@@ -65,34 +67,43 @@
         """Sends a message and waits for the reply; see Connection.call."""
         self._last_call_id += 1
         call_id = self._last_call_id
-        call = peer_call.Call(messages.request_id_of(message), patience)
+        call = peer_call.Call(
+            self._post(call_id, message, is_reply=False),
+            messages.request_id_of(message),
+            patience,
+        )
         self._in_flight.calls[call_id] = call
-        self._post(call_id, message, is_reply=False, pending_call=call)
         try:
-            with self._body_context(call_id, message):
+            with self._body_context(call_id, message, call.message):
                 return call.answer.get(timeout=timeout_ms / 1000)
         except gevent.Timeout as error:
             raise call.timeout_error(timeout_ms) from error
         finally:
-            if self._in_flight.calls.pop(call_id, None) is not None:
-                call.abandoned = True
-                if call.sent:
-                    self._post(
-                        call_id, stream_messages.Cancel(), is_reply=False
-                    )
+            is_unsent = call.message.withdraw()
+            is_pending = self._in_flight.calls.pop(call_id, None) is not None
+            if is_pending and not is_unsent:
+                self._post(call_id, stream_messages.Cancel(), is_reply=False)
 
     def _body_context(
-        self, call_id: int, message: messages.Message
+        self,
+        call_id: int,
+        message: messages.Message,
+        head: peer_message.OutgoingMessage,
     ) -> contextlib.AbstractContextManager:
         stream = messages.body_of(message)
         if not isinstance(stream, body.Stream):
             return _NO_BODY
-        return self._send_body(call_id, stream)
+        return self._send_body(call_id, stream, head)
 
     @contextlib.contextmanager
-    def _send_body(self, call_id: int, stream: body.Stream) -> Iterator[None]:
+    def _send_body(
+        self,
+        call_id: int,
+        stream: body.Stream,
+        head: peer_message.OutgoingMessage,
+    ) -> Iterator[None]:
         """Sends a call's body while the caller waits for the reply."""
-        outgoing = self._make_outgoing(call_id, stream)
+        outgoing = self._make_outgoing(call_id, stream, head)
         task = outgoing.start()
         try:
             yield
@@ -111,7 +122,7 @@
             if call.patience in patience and not call.answer.ready()
         ]
         for call in given_up:
-            call.give_up(problem)
+            call.fail(problem)
         return given_up
 
     def fail_unhandled(self, last_call: int, problem: str) -> None:
--- a/primrosecross/adapters/peers/peer_writer.py
+++ b/primrosecross/adapters/peers/peer_writer.py
@@ -13,8 +13,8 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters.peers import peer_body
-from primrosecross.adapters.peers import peer_call
 from primrosecross.adapters.peers import peer_codec
+from primrosecross.adapters.peers import peer_message
 from primrosecross.adapters.peers import peer_transit
 from primrosecross.domain import messages
 from primrosecross.domain import stamp
@@ -48,19 +48,21 @@
     answer_ids: tuple[str, ...]
 
 
-@dataclasses.dataclass(slots=True)
-class _QueuedMessage:
-    """A message to be sent.
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReadyBody:
+    """A streamed body whose next message is ready.
 
     Attributes:
-        data: The encoded frame.
-        call: The pending call of the message, if it is not a reply.
-        answer_id: ID of the request that the message answers; may be empty.
+        call_id: Call that it belongs to.
+        is_reply: Whether it is of the reply.
+        head: Message that it follows; None for one that is never withdrawn.
+        outgoing: The body.
     """
 
-    data: bytes
-    call: peer_call.Call | None
-    answer_id: str
+    call_id: int
+    is_reply: bool
+    head: peer_message.OutgoingMessage | None
+    outgoing: peer_body.Outgoing
 
 
 class Writer:
@@ -88,10 +90,8 @@
         self._traffic = traffic
         self._on_progress = on_progress
         self._on_failure = on_failure
-        self._queued_messages: list[_QueuedMessage] = []
-        self._ready_bodies: collections.deque[
-            tuple[int, bool, peer_body.Outgoing]
-        ] = collections.deque()
+        self._queued_messages: list[peer_message.OutgoingMessage] = []
+        self._ready_bodies: collections.deque[_ReadyBody] = collections.deque()
         self._task: gevent.Greenlet | None = None
         self._batch_answer_ids: list[str] = []
         self._unsent_bytes = 0
@@ -110,34 +110,41 @@
             blocked_s = time.monotonic() - self._send_started_s
         queued_ids = [q.answer_id for q in queued if q.answer_id]
         return Backlog(
-            frames=len(queued),
-            bytes=sum(len(q.data) for q in queued) + self._unsent_bytes,
+            frames=sum(1 for q in queued if q.queued_bytes),
+            bytes=sum(q.queued_bytes for q in queued) + self._unsent_bytes,
             blocked_ms=int(blocked_s * 1000),
             answer_ids=(*self._batch_answer_ids, *queued_ids),
         )
 
     def enqueue_message(
-        self,
-        call_id: int,
-        message: messages.Message,
-        is_reply: bool,
-        call: peer_call.Call | None,
-    ) -> None:
-        """Queues a message; its call counts as sent once in a batch."""
-        self._queued_messages.append(
-            _QueuedMessage(
-                self._encode_frame(call_id, is_reply, message),
-                call,
-                messages.request_id_of(message) if is_reply else "",
-            )
+        self, call_id: int, message: messages.Message, is_reply: bool
+    ) -> peer_message.OutgoingMessage:
+        """Queues a message; it is on the wire once in a batch."""
+        queued = peer_message.OutgoingMessage(
+            self._encode_frame(call_id, is_reply, message),
+            answer_id=messages.request_id_of(message) if is_reply else "",
         )
+        self._queued_messages.append(queued)
         self._ensure_running()
+        return queued
 
     def enqueue_body(
-        self, call_id: int, is_reply: bool, outgoing: peer_body.Outgoing
+        self,
+        call_id: int,
+        is_reply: bool,
+        head: peer_message.OutgoingMessage | None,
+        outgoing: peer_body.Outgoing,
     ) -> None:
-        """Queues a streamed body whose next message is ready."""
-        self._ready_bodies.append((call_id, is_reply, outgoing))
+        """Queues a streamed body whose next message is ready.
+
+        Args:
+            call_id: Call that it belongs to.
+            is_reply: Whether it is of the reply.
+            head: Message that it follows, after which nothing is sent if it is
+                withdrawn; None for one that is never withdrawn.
+            outgoing: The body.
+        """
+        self._ready_bodies.append(_ReadyBody(call_id, is_reply, head, outgoing))
         self._ensure_running()
 
     def stop(self) -> None:
@@ -172,14 +179,9 @@
             self._task = None
 
     def _collect_batch(self) -> list[bytes]:
-        batch = []
         queued_messages, self._queued_messages = self._queued_messages, []
-        for queued in queued_messages:
-            if queued.call is not None:
-                if queued.call.abandoned:
-                    continue
-                queued.call.sent = True
-            batch.append(queued.data)
+        taken = [queued.take() for queued in queued_messages]
+        batch = [data for data in taken if data]
         self._batch_answer_ids = [
             queued.answer_id for queued in queued_messages if queued.answer_id
         ]
@@ -187,10 +189,12 @@
         for _ in range(len(self._ready_bodies)):
             if batch_body_bytes >= BATCH_BODY_BYTES:
                 break
-            call_id, is_reply, outgoing = self._ready_bodies.popleft()
-            message = outgoing.take_message()
-            if message is not None:
-                batch.append(self._encode_frame(call_id, is_reply, message))
+            ready = self._ready_bodies.popleft()
+            message = ready.outgoing.take_message()
+            if message is not None and _may_follow(ready.head):
+                batch.append(
+                    self._encode_frame(ready.call_id, ready.is_reply, message)
+                )
                 batch_body_bytes += peer_body.PIECE_BYTES
         return batch
 
@@ -206,3 +210,7 @@
             if waited:
                 self._on_progress()
         self._unsent_bytes = 0
+
+
+def _may_follow(head: peer_message.OutgoingMessage | None) -> bool:
+    return head is None or head.state is not peer_message.State.WITHDRAWN
