Leave a lost first try unknown when the second is refused

An idempotent request on a kept connection that closes without a response is sent once more on another connection. If that second try was refused, or found nobody listening, callers got 503, "not run", though the target may have run the first. The crash of a target that ended with its connections was not noted either: the refused second try hid it from the quarantine, and the request went on to the next target without a retry token.

Cause: both clients of targets returned the outcome of the second try as if there had been no first.

Change: outcome.after_loss joins the two; a refusal of the second leaves the outcome unknown, as the dispatcher has it for its own attempts. Such requests are repeated within the limits of retries, no more without them.

--- a/primrosecross/adapters/http/target_http.py
+++ b/primrosecross/adapters/http/target_http.py
@@ -195,7 +195,7 @@
             return self._attempt()
         except _ConnectionClosedError as error:
             if self._req.idempotent and isinstance(self._req.body, bytes):
-                return self._retry()
+                return outcome.after_loss(self._retry(), str(error))
             return _response_lost(error)
 
     def _retry(self) -> outcome.Outcome:
--- a/primrosecross/domain/requests/outcome.py
+++ b/primrosecross/domain/requests/outcome.py
@@ -74,6 +74,32 @@
 Outcome = Answered | NotRun | Unknown
 
 
+@functools.singledispatch
+def after_loss(result: object, problem: str) -> Outcome:
+    """Returns the outcome of two tries, of which the first lost its response.
+
+    Args:
+        result: Outcome of the second try; None if it lost its response too. A
+            refusal of the second try does not tell whether the first one ran.
+        problem: How the first try lost its response.
+    """
+    raise TypeError(f"no outcome of two tries from {type(result).__name__}")
+
+
+@after_loss.register(NotRun)
+@after_loss.register(type(None))
+def _(result: NotRun | None, problem: str) -> Outcome:
+    return Unknown(
+        Reason.ANSWER_LOST, f"the target's response was lost: {problem}"
+    )
+
+
+@after_loss.register(Answered)
+@after_loss.register(Unknown)
+def _(result: Answered | Unknown, problem: str) -> Outcome:
+    return result
+
+
 @functools.singledispatch
 def body_of(result: object) -> body_module.Body:
     """Returns the body of an outcome, empty for all but answers."""
--- a/primrosecross/platform/targets.py
+++ b/primrosecross/platform/targets.py
@@ -57,8 +57,8 @@
         client = self._client(announcement.address)
         result = self._attempt(client, announcement, req)
         if result is None:  # A pooled connection was closed.
-            result = self._attempt(client, announcement, req)
-        result = result or _response_lost("two pooled connections were closed")
+            again = self._attempt(client, announcement, req)
+            result = outcome.after_loss(again, "a pooled connection closed")
         outcome_log.log_unknown(req, result)
         return result
 
