Let full targets give whole ranges away, and deal out within the limit

Cause: no keys left a target of 48 ranges or more, though giving a whole range away lowers the number. Lost ranges were dealt out without regard to the limit. Single hot keys and targets of many small ranges were further cases in which nothing fitted, and the only key of a target could be passed on without end.

Change: a target at the limit gives whole ranges, or ends of ranges; keys go to the least busy target that has room. If no slice fits, the receiver gets what leaves it clearly less busy than the source. Free neighboring ranges are dealt out as one, to targets that have room, and to the holders beside them if none has. A target keeps at least one range.

--- a/primrosecross/domain/ownership/key_map.py
+++ b/primrosecross/domain/ownership/key_map.py
@@ -105,6 +105,28 @@
         """Returns the ranges of a holder."""
         return [r for r in self.ranges if r.holder == incarnation_id]
 
+    def neighbor_ids(self, key_range: KeyRange) -> list[str]:
+        """Returns who has or gets the keys on both sides of a range."""
+        keys = (key_range.first - 1, key_range.last + 1)
+        neighbors = [self.find(key) for key in keys if 0 <= key <= LAST_KEY]
+        return [n.receiver or n.holder for n in neighbors]
+
+    def with_free_ranges_joined(self) -> "RangeTable":
+        """Returns a table whose adjacent free ranges are one each.
+
+        The generation of a free range is replaced once it gets a holder. A
+        range with a hand-over token stays apart, as the token is for its keys.
+        """
+        newest = max(r.generation for r in self.ranges)
+        return RangeTable(
+            _merged(
+                dataclasses.replace(r, generation=newest)
+                if r.holder == NO_HOLDER and not r.token
+                else r
+                for r in self.ranges
+            )
+        )
+
     def with_ranges(self, changes: Iterable[KeyRange]) -> "RangeTable":
         """Returns a table with changed ranges in place of what they overlap."""
         parts = list(self.ranges)
@@ -126,7 +148,7 @@
     return remaining
 
 
-def _merged(parts: list[KeyRange]) -> list[KeyRange]:
+def _merged(parts: Iterable[KeyRange]) -> list[KeyRange]:
     """Joins adjacent ranges that are equal apart from their bounds."""
     joined: list[KeyRange] = []
     for part in parts:
--- a/primrosecross/domain/ownership/range_balance.py
+++ b/primrosecross/domain/ownership/range_balance.py
@@ -2,9 +2,11 @@
 
 An overloaded target gives up as few keys as carry its excess load, because
 a move has a cost and leaves its keys without a holder for up to one heartbeat.
+A target with many ranges is not cut further: it gives whole ranges away.
 """
 
 import dataclasses
+from collections.abc import Iterable
 
 from primrosecross.domain.ownership import key_load
 from primrosecross.domain.ownership import key_map as key_map_module
@@ -96,31 +98,65 @@
         load = sum(c.load for c in self.candidates.values()) + added_load
         return load / sum(c.capacity for c in self.candidates.values())
 
-    def divide(self, free_range: _KeyRange) -> list[tuple[_KeyRange, str]]:
-        """Divides a range among targets by their headroom."""
-        mean = self._mean_utilization(
-            self._estimated_load(free_range.first, free_range.last)
-        )
+    def divide(
+        self, free_range: _KeyRange, neighbor_ids: Iterable[str] = ()
+    ) -> list[tuple[_KeyRange, str]]:
+        """Divides a range among targets by their headroom and free ranges.
+
+        Args:
+            free_range: The range.
+            neighbor_ids: Incarnations that have the ranges beside it, or none.
+
+        Returns:
+            Parts of the range, each with the incarnation that gets it.
+        """
+        load = self._estimated_load(free_range.first, free_range.last)
+        mean = self._mean_utilization(load)
+        neighbors = [
+            self.candidates[i] for i in neighbor_ids if i in self.candidates
+        ]
+        if not self._with_room():
+            destination = max(
+                neighbors or self.candidates.values(),
+                key=lambda c: c.headroom(mean),
+            )
+            return [self._assigned(free_range, destination)]
         pieces: list[tuple[_KeyRange, str]] = []
         first = free_range.first
         while first <= free_range.last:
-            destination = max(
-                self.candidates.values(), key=lambda c: c.headroom(mean)
-            )
+            destination = max(self._with_room(), key=lambda c: c.headroom(mean))
             last = self._split_key(
                 first, free_range.last, destination.headroom(mean)
             )
             rest_load = self._estimated_load(last + 1, free_range.last)
-            if rest_load < MIN_PIECE_SHARE * mean * destination.capacity:
+            rest_is_small = (
+                rest_load < MIN_PIECE_SHARE * mean * destination.capacity
+            )
+            destination.range_count += 1
+            if rest_is_small or not self._with_room():
                 last = free_range.last
+            destination.range_count -= 1
             pieces.append(
-                (free_range.clip(first, last), destination.incarnation_id)
+                self._assigned(free_range.clip(first, last), destination)
             )
-            destination.load += self._estimated_load(first, last)
-            destination.range_count += 1
             first = last + 1
         return pieces
 
+    def _assigned(
+        self, piece: _KeyRange, destination: Candidate
+    ) -> tuple[_KeyRange, str]:
+        destination.load += self._estimated_load(piece.first, piece.last)
+        destination.range_count += 1
+        return piece, destination.incarnation_id
+
+    def _with_room(self) -> list[Candidate]:
+        """Returns the targets that may get another range."""
+        return [
+            c
+            for c in self.candidates.values()
+            if c.range_count < MAX_RANGES_PER_TARGET
+        ]
+
     def _split_key(self, first: int, last: int, headroom: float) -> int:
         """Returns the last key up to which a range fits into the headroom."""
         low, high = first, last
@@ -149,101 +185,168 @@
                 if c.incarnation_id not in exhausted_ids
             ]
             busiest = max(sources, key=lambda c: c.utilization, default=None)
-            if busiest is None or not self._should_move(busiest):
+            if busiest is None:
                 break
-            change = self._next_move(table, busiest, self._load)
+            receiver = self._least_utilized(busiest)
+            if receiver is None or not self._should_move(busiest, receiver):
+                break
+            change = self._next_move(table, busiest, receiver, self._load)
             if change is None:
                 exhausted_ids.add(busiest.incarnation_id)
                 continue
+            self._record_move(table, busiest, change)
             table = table.with_ranges([change])
-            self._record_move(busiest, change)
             moving += 1
         return table
 
-    def _record_move(self, source: Candidate, change: _KeyRange) -> None:
+    def _record_move(
+        self, table: _Table, source: Candidate, change: _KeyRange
+    ) -> None:
         moved_load = self._estimated_load(change.first, change.last)
         receiver = self.candidates[change.receiver]
         source.load -= moved_load
+        source.range_count += _added_ranges(table, change)
         receiver.load += moved_load
         receiver.range_count += 1
 
-    def _least_utilized(self) -> Candidate:
-        return min(self.candidates.values(), key=lambda c: c.utilization)
+    def _least_utilized(self, source: Candidate) -> Candidate | None:
+        """Returns the target to give keys to, None if all others are full."""
+        return min(
+            (c for c in self._with_room() if c is not source),
+            key=lambda c: c.utilization,
+            default=None,
+        )
 
-    def _should_move(self, busiest: Candidate) -> bool:
+    def _should_move(self, busiest: Candidate, receiver: Candidate) -> bool:
         """Returns whether the busiest target should give up keys."""
-        idlest = self._least_utilized()
-        is_idle = idlest.range_count == 0 and busiest.range_count > 0
-        return is_idle or _is_uneven(busiest, idlest, self._mean_utilization())
+        is_idle = receiver.range_count == 0 and busiest.range_count > 0
+        return is_idle or _is_uneven(
+            busiest, receiver, self._mean_utilization()
+        )
 
     def _next_move(
-        self, table: _Table, busiest: Candidate, load: key_load.KeyLoad
+        self,
+        table: _Table,
+        source: Candidate,
+        receiver: Candidate,
+        load: key_load.KeyLoad,
     ) -> _KeyRange | None:
-        """Returns a slice of the busiest target's keys, with its receiver."""
-        idlest = self._least_utilized()
-        if (
-            max(idlest.range_count, busiest.range_count)
-            >= MAX_RANGES_PER_TARGET
-        ):
-            return None
+        """Returns keys of the source that go to the receiver, None if none fit.
+
+        A slice that carries as much as the source has too much is best. If
+        single keys or small ranges carry the load, the receiver gets what
+        leaves it clearly less busy than the source is.
+        """
         mean = self._mean_utilization()
-        is_idle = idlest.range_count == 0
-        headroom = idlest.headroom(mean)
-        excess = -busiest.headroom(mean)
+        is_idle = receiver.range_count == 0
+        headroom = receiver.headroom(mean)
+        excess = -source.headroom(mean)
         max_rate = min(max(excess, headroom / 2 if is_idle else 0.0), headroom)
-        key_slice = self._best_slice(table, busiest, load, max_rate)
+        key_slice = self._best_slice(table, source, load, max_rate)
         if key_slice is None and is_idle:
-            key_slice = self._any_slice(table, busiest, max_rate)
+            key_slice = self._any_slice(
+                table, source, min(max_rate, source.load / 2)
+            )
+        if key_slice is None:
+            most = receiver.headroom(
+                source.utilization - IMBALANCE_TOLERANCE * mean
+            )
+            key_slice = self._best_slice(
+                table, source, load, most
+            ) or self._best_range(table, source, max_rate, most)
         if key_slice is None:
             return None
-        return dataclasses.replace(key_slice, receiver=idlest.incarnation_id)
+        return dataclasses.replace(key_slice, receiver=receiver.incarnation_id)
+
+    def _movable_ranges(
+        self, table: _Table, source: Candidate
+    ) -> list[_KeyRange]:
+        return [
+            r
+            for r in table.held_by(source.incarnation_id)
+            if not r.receiver and r.generation <= self._movable_version
+        ]
+
+    def _may_give(
+        self, table: _Table, source: Candidate, key_slice: _KeyRange
+    ) -> bool:
+        """Returns whether the source keeps keys, in not too many ranges."""
+        remaining = source.range_count + _added_ranges(table, key_slice)
+        return 0 < remaining <= max(MAX_RANGES_PER_TARGET, source.range_count)
 
     def _best_slice(
         self,
         table: _Table,
-        busiest: Candidate,
+        source: Candidate,
         load: key_load.KeyLoad,
         max_rate: float,
     ) -> _KeyRange | None:
         """Returns the slice that carries most of max_rate in few keys."""
         best: tuple[float, _KeyRange] | None = None
-        for key_range in table.held_by(busiest.incarnation_id):
-            if (
-                key_range.receiver
-                or key_range.generation > self._movable_version
-            ):
-                continue
+        for key_range in self._movable_ranges(table, source):
             densest = load.densest_slice(
                 key_range.first, key_range.last, max_rate=max_rate
             )
             if densest is None:
                 continue
             first, last, rate = densest
+            key_slice = key_range.clip(first, last)
             score = rate / (last - first + SLICE_WIDTH_OFFSET_KEYS)
             enough = rate >= MIN_SLICE_SHARE * max_rate
-            if enough and (best is None or score > best[0]):
-                best = (score, key_range.clip(first, last))
+            if (
+                enough
+                and (best is None or score > best[0])
+                and self._may_give(table, source, key_slice)
+            ):
+                best = (score, key_slice)
         return None if best is None else best[1]
 
+    def _best_range(
+        self, table: _Table, source: Candidate, wanted: float, most: float
+    ) -> _KeyRange | None:
+        """Returns the whole range whose load is closest to the wanted one."""
+        loads = [
+            (abs(load - wanted), key_range)
+            for key_range in self._movable_ranges(table, source)
+            if 0 < (load := self._load_of(key_range)) <= most
+        ]
+        if source.range_count < 2 or not loads:
+            return None
+        return min(loads, key=lambda entry: entry[0])[1]
+
+    def _load_of(self, key_range: _KeyRange) -> float:
+        return self._estimated_load(key_range.first, key_range.last)
+
     def _any_slice(
-        self, table: _Table, busiest: Candidate, max_rate: float
+        self, table: _Table, source: Candidate, max_rate: float
     ) -> _KeyRange | None:
         """Returns keys with little load, for a target that holds no keys."""
         key_ranges = [
-            r for r in table.held_by(busiest.incarnation_id) if not r.receiver
+            r for r in table.held_by(source.incarnation_id) if not r.receiver
         ]
         if not key_ranges:
             return None
         widest = max(key_ranges, key=lambda r: r.size)
         last = self._split_key(widest.first, widest.last, max_rate)
-        return widest.clip(widest.first, last)
+        key_slice = widest.clip(widest.first, last)
+        return key_slice if self._may_give(table, source, key_slice) else None
+
+
+def _added_ranges(table: _Table, key_slice: _KeyRange) -> int:
+    """Returns how many more ranges a holder has once it has given a slice."""
+    key_range = table.find(key_slice.first)
+    return (
+        (key_range.first < key_slice.first)
+        + (key_slice.last < key_range.last)
+        - 1
+    )
 
 
-def _is_uneven(busiest: Candidate, idlest: Candidate, mean: float) -> bool:
+def _is_uneven(busiest: Candidate, receiver: Candidate, mean: float) -> bool:
     """Returns whether the imbalance is large enough to move keys."""
     return (
         busiest.utilization >= MIN_UTILIZATION
         and busiest.utilization - mean >= IMBALANCE_TOLERANCE * mean
-        and busiest.utilization - idlest.utilization
+        and busiest.utilization - receiver.utilization
         >= 2 * IMBALANCE_TOLERANCE * mean
     )
--- a/primrosecross/domain/ownership/range_decisions.py
+++ b/primrosecross/domain/ownership/range_decisions.py
@@ -290,7 +290,9 @@
                     dataclasses.replace(key_range, receiver=key_range.holder)
                 )
                 continue
-            for piece, incarnation_id in balance.divide(key_range):
+            for piece, incarnation_id in balance.divide(
+                key_range, table.neighbor_ids(key_range)
+            ):
                 changes.append(
                     dataclasses.replace(piece, receiver=incarnation_id)
                 )
@@ -316,12 +318,15 @@
         balance: range_balance.Balance,
     ) -> key_map_module.RangeTable:
         """Assigns free ranges to targets by their headroom."""
+        table = table.with_free_ranges_joined()
         balance.update_loads(table)
         changes: list[_KeyRange] = []
         for key_range in table.ranges:
             if key_range.holder != key_map_module.NO_HOLDER:
                 continue
-            for piece, incarnation_id in balance.divide(key_range):
+            for piece, incarnation_id in balance.divide(
+                key_range, table.neighbor_ids(key_range)
+            ):
                 changes.append(
                     dataclasses.replace(
                         piece,
