Join neighboring key ranges, and gather those of targets with many

Cause: nothing joined ranges. Neighbors of one holder that came at different times differ in generation or token; and few ranges lie beside one of the same holder, so joining these alone bounds nothing.

Change: neighbors of a target with more than 24 ranges become one, under the version of the map as generation: above all with which any target had the keys, accepted by the holder without a release in between. Ranges that wait for their hand-over token stay apart. A target with more than 32 moves those with the least load to the holder beside them, each of which lowers the number; one over 48 does so at once. A lost range goes to the holder beside it if it fits there. No move leaves its receiver busier than its source was.

--- a/primrosecross/domain/ownership/range_balance.py
+++ b/primrosecross/domain/ownership/range_balance.py
@@ -115,9 +115,10 @@
         neighbors = [
             self.candidates[i] for i in neighbor_ids if i in self.candidates
         ]
-        if not self._with_room():
+        fitting = [c for c in neighbors if c.headroom(mean) >= load]
+        if fitting or not self._with_room():
             destination = max(
-                neighbors or self.candidates.values(),
+                fitting or neighbors or self.candidates.values(),
                 key=lambda c: c.headroom(mean),
             )
             return [self._assigned(free_range, destination)]
@@ -173,12 +174,9 @@
         if self._load is None or len(self.candidates) < 2:
             return table
         moving = sum(r.receiver != "" for r in table.ranges)
-        max_moves = max(
-            MIN_MOVE_LIMIT, round(MOVE_LIMIT_SHARE * len(self.candidates))
-        )
         exhausted_ids: set[str] = set()  # Targets without a movable slice.
         self.update_loads(table)
-        while moving < max_moves:
+        while moving < self.max_moves:
             sources = [
                 c
                 for c in self.candidates.values()
@@ -194,14 +192,31 @@
             if change is None:
                 exhausted_ids.add(busiest.incarnation_id)
                 continue
-            self._record_move(table, busiest, change)
+            self.record_move(table, busiest, change)
             table = table.with_ranges([change])
             moving += 1
         return table
 
-    def _record_move(
+    @property
+    def max_moves(self) -> int:
+        """Number of ranges that may move at a time."""
+        return max(
+            MIN_MOVE_LIMIT, round(MOVE_LIMIT_SHARE * len(self.candidates))
+        )
+
+    def is_movable(self, key_range: _KeyRange) -> bool:
+        """Returns whether a range has been with its holder long enough."""
+        return key_range.generation <= self._movable_version
+
+    def stays_even(self, receiver: Candidate, added_load: float) -> bool:
+        """Returns whether a target with more load would give up no keys."""
+        utilization = (receiver.load + added_load) / receiver.capacity
+        return utilization <= max(MIN_UTILIZATION, self._mean_utilization())
+
+    def record_move(
         self, table: _Table, source: Candidate, change: _KeyRange
     ) -> None:
+        """Counts a move that is about to start in a table."""
         moved_load = self._estimated_load(change.first, change.last)
         receiver = self.candidates[change.receiver]
         source.load -= moved_load
@@ -242,18 +257,19 @@
         headroom = receiver.headroom(mean)
         excess = -source.headroom(mean)
         max_rate = min(max(excess, headroom / 2 if is_idle else 0.0), headroom)
-        key_slice = self._best_slice(table, source, load, max_rate)
+        max_load = max(
+            headroom,
+            receiver.headroom(source.utilization - IMBALANCE_TOLERANCE * mean),
+        )
+        key_slice = self._best_slice(table, source, load, max_rate, max_load)
         if key_slice is None and is_idle:
             key_slice = self._any_slice(
                 table, source, min(max_rate, source.load / 2)
             )
         if key_slice is None:
-            most = receiver.headroom(
-                source.utilization - IMBALANCE_TOLERANCE * mean
-            )
             key_slice = self._best_slice(
-                table, source, load, most
-            ) or self._best_range(table, source, max_rate, most)
+                table, source, load, max_load, max_load
+            ) or self._best_range(table, source, max_rate, max_load)
         if key_slice is None:
             return None
         return dataclasses.replace(key_slice, receiver=receiver.incarnation_id)
@@ -264,7 +280,7 @@
         return [
             r
             for r in table.held_by(source.incarnation_id)
-            if not r.receiver and r.generation <= self._movable_version
+            if not r.receiver and self.is_movable(r)
         ]
 
     def _may_give(
@@ -280,8 +296,18 @@
         source: Candidate,
         load: key_load.KeyLoad,
         max_rate: float,
+        max_load: float,
     ) -> _KeyRange | None:
-        """Returns the slice that carries most of max_rate in few keys."""
+        """Returns the slice that carries most of max_rate in few keys.
+
+        Args:
+            table: All ranges.
+            source: The target that gives it.
+            load: Request rates by key.
+            max_rate: Most requests per second that it may have.
+            max_load: Most load that it may have; unlike a rate, it includes
+                the slice's part of the uniform load.
+        """
         best: tuple[float, _KeyRange] | None = None
         for key_range in self._movable_ranges(table, source):
             densest = load.densest_slice(
@@ -296,25 +322,27 @@
             if (
                 enough
                 and (best is None or score > best[0])
+                and self.load_of(key_slice) <= max_load
                 and self._may_give(table, source, key_slice)
             ):
                 best = (score, key_slice)
         return None if best is None else best[1]
 
     def _best_range(
-        self, table: _Table, source: Candidate, wanted: float, most: float
+        self, table: _Table, source: Candidate, wanted: float, max_load: float
     ) -> _KeyRange | None:
         """Returns the whole range whose load is closest to the wanted one."""
         loads = [
             (abs(load - wanted), key_range)
             for key_range in self._movable_ranges(table, source)
-            if 0 < (load := self._load_of(key_range)) <= most
+            if 0 < (load := self.load_of(key_range)) <= max_load
         ]
         if source.range_count < 2 or not loads:
             return None
         return min(loads, key=lambda entry: entry[0])[1]
 
-    def _load_of(self, key_range: _KeyRange) -> float:
+    def load_of(self, key_range: _KeyRange) -> float:
+        """Returns the estimated load of a range."""
         return self._estimated_load(key_range.first, key_range.last)
 
     def _any_slice(
--- a/primrosecross/domain/ownership/range_decisions.py
+++ b/primrosecross/domain/ownership/range_decisions.py
@@ -12,6 +12,7 @@
 from primrosecross.domain.ownership import key_load
 from primrosecross.domain.ownership import key_map as key_map_module
 from primrosecross.domain.ownership import range_balance
+from primrosecross.domain.ownership import range_joining
 from primrosecross.domain.ownership import target_heartbeat
 
 DEFAULT_TYPICAL_MS = 100
@@ -144,7 +145,7 @@
         return target.state == target_heartbeat.TargetState.SILENT.value
 
     def assign_keys(self, service: str) -> None:
-        """Frees, hands over, assigns and rebalances the keys of a service."""
+        """Frees, hands over, assigns, joins and rebalances keys."""
         balance = range_balance.Balance(
             candidates=self._candidates(service),
             load=self._inputs.loads.get(service),
@@ -160,7 +161,9 @@
         if balance.candidates:
             table = self._reassign_draining(table, balance)
             table = self._assign_free_ranges(table, balance)
+            table = range_joining.join_neighbors(table, balance, self._version)
             table = balance.rebalance(table)
+            table = range_joining.gather(table, balance)
         self._tables[service] = table
         self._add_holders(table, balance, service)
 
--- a/tests/key_model.py
+++ b/tests/key_model.py
@@ -2,13 +2,15 @@
 
 Daemons, targets, competing coordinators and a store run on one clock in steps
 of STEP_MS. Faults: delayed messages, daemons killed, frozen or partitioned,
-targets crashed, the store down.
+targets crashed, the store down. If busy keys wander, ranges are cut, moved and
+joined all the while.
 """
 
 import dataclasses
 import random
 
 from primrosecross.domain.membership import fleet_messages
+from primrosecross.domain.ownership import key_load
 from primrosecross.domain.ownership import key_map
 from primrosecross.domain.ownership import proof
 from primrosecross.domain.ownership import range_decisions
@@ -22,6 +24,8 @@
 STEP_MS = 20
 VMS = 5
 PROBED_KEYS = range(0, 65536, 4096)
+WANDER_MS = 2500  # then other keys are busy
+HOT_KEYS = 6000
 _NS_PER_MS = proof.NS_PER_MS
 
 
@@ -233,7 +237,9 @@
         draft = range_decisions.decide(
             base,
             fleet_fakes.decision_inputs(
-                *self.model.mark_stopping(views), expired_ids=expired_ids
+                *self.model.mark_stopping(views),
+                expired_ids=expired_ids,
+                loads=self.model.loads(),
             ),
         )
         if draft is None and not self.election.extensions.map_written:
@@ -286,10 +292,18 @@
     Args:
         seed: Seed of all random choices.
         by_call: Whether calls grant keys, not the answers to heartbeats.
+        wandering: Whether some keys are busy, and others some seconds later.
     """
 
-    def __init__(self, seed: int, *, by_call: bool = False) -> None:
+    def __init__(
+        self, seed: int, *, by_call: bool = False, wandering: bool = False
+    ) -> None:
         self.by_call = by_call
+        self.wandering = wandering
+        self._load = key_load.KeyLoad()
+        self._load_until_ms = 0
+        # By key: the last holder, its newest generation, that of all before.
+        self._generations: dict[int, tuple[tuple[str, int], int, int]] = {}
         self.random = random.Random(seed)
         self.clock = fakes.ManualClock()
         self.now_ms = self.clock.now_ns() // _NS_PER_MS
@@ -316,6 +330,19 @@
         """Returns how long a revocation waits."""
         return proof.revocation_wait_ms()
 
+    def loads(self) -> dict[str, key_load.KeyLoad]:
+        """Returns the request rates by key, by service."""
+        if not self.wandering:
+            return {}
+        if self.now_ms >= self._load_until_ms:
+            self._load_until_ms = self.now_ms + WANDER_MS
+            self._load = key_load.KeyLoad()
+            self._load.add([(key, 2) for key in range(0, 65536, 512)], 1.0)
+            first = self.random.randrange(65536 - HOT_KEYS)
+            hot_keys = range(first, first + HOT_KEYS, 50)
+            self._load.add([(key, 8) for key in hot_keys], 1.0)
+        return {"desk": self._load}
+
     def late_write_ms(self) -> int:
         """Returns the maximum delay of the next write of the map."""
         return 9000 if self.random.random() < 0.03 else 150
@@ -426,4 +453,21 @@
             ]
             if len(current_holders) > 1:
                 return f"key {key} at {current_holders}, {self.now_ms} ms"
+            for vm, generation in current_holders:
+                problem = self._check_generation(key, vm, generation)
+                if problem:
+                    return problem
+        return ""
+
+    def _check_generation(self, key: int, vm: str, generation: int) -> str:
+        """Checks that a generation is above all of the holders before."""
+        holder = (vm, self.targets[vm].started_ms)
+        last, newest, earlier = self._generations.get(key, (holder, 0, -1))
+        if holder != last:
+            earlier = max(earlier, newest)
+            newest = 0
+        if generation <= earlier:
+            return f"key {key} at {holder}: {generation} after {earlier}"
+        newest = max(newest, generation)
+        self._generations[key] = (holder, newest, earlier)
         return ""
--- a/tests/range_fleet.py
+++ b/tests/range_fleet.py
@@ -1,6 +1,7 @@
 """A coordinator's decisions on a fleet whose targets release at once."""
 
 import collections
+from collections.abc import Callable
 
 from primrosecross.domain.membership import fleet_messages
 from primrosecross.domain.ownership import key_load
@@ -9,7 +10,7 @@
 from primrosecross.domain.ownership import range_decisions
 from tests import fleet_fakes
 
-CAPACITY = 100.0  # requests per second of fleet_fakes.target
+SLOTS = 10  # of fleet_fakes.target
 
 
 class Fleet:
@@ -19,6 +20,7 @@
         ranges: All key ranges.
         live: Number of targets that report; they are the first ones.
         load: Request rates by key, None if there are none.
+        typical_ms: Returns the time that a target takes for a request.
     """
 
     def __init__(
@@ -27,10 +29,12 @@
         *,
         live: int,
         load: key_load.KeyLoad | None,
+        typical_ms: Callable[[], int] = lambda: 100,
     ) -> None:
         self.load = load
         self.live = [f"i-{n}@1000" for n in range(live)]
         self._lost: set[str] = set()
+        self._typical_ms = {life: typical_ms() for life in self.live}
         held_by = {r.holder for r in ranges} | {r.receiver for r in ranges}
         vms = {life: _vm(life) for life in held_by if life}
         self.map = fleet_fakes.make_map(
@@ -47,10 +51,10 @@
         self.live.remove(life)
         self._lost.add(life)
 
-    def restore(self, life: str) -> None:
-        """Returns the VM of a target that holds no keys."""
-        self._lost.discard(life)
-        self.live.append(life)
+    def restore_all(self) -> None:
+        """Brings all lost VMs back, with targets that hold no keys."""
+        self.live += sorted(self._lost)
+        self._lost.clear()
 
     def decide(self) -> bool:
         """Decides once; returns whether anything changed."""
@@ -77,6 +81,7 @@
     def _report(self, life: str) -> fleet_messages.TargetReport:
         return fleet_fakes.target(
             life,
+            typical_ms=self._typical_ms[life],
             given_back=tuple(
                 fleet_messages.GivenBack(r.first, r.last, r.generation, "t")
                 for r in self.table.held_by(life)
@@ -84,7 +89,11 @@
             ),
         )
 
-    def settle(self, max_decisions: int = 400) -> int:
+    def settle(
+        self,
+        max_decisions: int = 400,
+        on_change: Callable[[key_map.RangeTable], None] = lambda table: None,
+    ) -> int:
         """Decides until nothing changes; returns the number of moves.
 
         Raises:
@@ -94,6 +103,7 @@
         for _ in range(max_decisions):
             if not self.decide():
                 return moves
+            on_change(self.table)
             moves += sum(r.receiver != "" for r in self.table.ranges)
         raise AssertionError(f"not settled after {max_decisions} decisions")
 
@@ -109,7 +119,9 @@
         """Returns the targets with the load of what they hold."""
         balance = range_balance.Balance(
             candidates=[
-                range_balance.Candidate(life, _vm(life), CAPACITY)
+                range_balance.Candidate(
+                    life, _vm(life), SLOTS * 1000 / self._typical_ms[life]
+                )
                 for life in self.live
             ],
             load=self.load,
@@ -123,8 +135,9 @@
         return [c.utilization for c in self.balance().candidates.values()]
 
     def mean(self) -> float:
-        """Returns the mean utilization."""
-        return sum(self.utilizations()) / len(self.live)
+        """Returns the load of all keys by the capacity of all live targets."""
+        targets = self.balance().candidates.values()
+        return sum(t.load for t in targets) / sum(t.capacity for t in targets)
 
 
 def _vm(life: str) -> str:
--- a/tests/test_key_model.py
+++ b/tests/test_key_model.py
@@ -4,17 +4,21 @@
 that it detects faults.
 """
 
+import dataclasses
 import unittest
 from unittest import mock
 
 from primrosecross.domain.ownership import grant_caller
 from primrosecross.domain.ownership import grant_ledger
+from primrosecross.domain.ownership import key_map
 from primrosecross.domain.ownership import lease_extension
 from primrosecross.domain.ownership import proof
+from primrosecross.domain.ownership import range_joining
 from primrosecross.domain.ownership import target_heartbeat
 from primrosecross.domain.ownership import target_watch
 from primrosecross.ports import key_calls
 from tests import key_model
+from tests import key_model_calls
 
 SEEDS = 20
 LENGTH_MS = 90_000
@@ -179,3 +183,102 @@
             grant_ledger.GrantLedger, "expiry_ns", return_value=0
         ):
             self.assertNotEqual(self._find_violation(range(SEEDS_TO_FAIL)), "")
+
+
+class JoinedRangesModelTest(unittest.TestCase):
+    """Random runs in which busy keys wander and all neighbors are joined."""
+
+    def setUp(self) -> None:
+        for limit in ("JOIN_ABOVE_RANGES", "GATHER_ABOVE_RANGES"):
+            patch = mock.patch.object(range_joining, limit, 3)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def _find_violation(self, seeds: range, *, by_call: bool) -> str:
+        runs = (
+            key_model.Model(seed, by_call=by_call, wandering=True).run(
+                LENGTH_MS
+            )
+            for seed in seeds
+        )
+        return next((violation for violation in runs if violation), "")
+
+    def test_no_key_has_two_holders(self):
+        for by_call in (False, True):
+            with self.subTest(by_call=by_call):
+                violation = self._find_violation(
+                    range(SEEDS // 2), by_call=by_call
+                )
+                self.assertEqual(violation, "")
+
+    def test_ranges_are_joined(self):
+        join_neighbors = range_joining.join_neighbors
+        joined_count = 0
+
+        def count_joined(table, balance, version):
+            nonlocal joined_count
+            joined = join_neighbors(table, balance, version)
+            joined_count += len(table.ranges) - len(joined.ranges)
+            return joined
+
+        with mock.patch.object(range_joining, "join_neighbors", count_joined):
+            for seed in range(3):
+                key_model.Model(seed, wandering=True).run(LENGTH_MS)
+        self.assertGreater(joined_count, 20)
+
+    def test_it_fails_if_joined_ranges_keep_the_lower_generation(self):
+        join_neighbors = range_joining.join_neighbors
+        with mock.patch.object(
+            range_joining,
+            "join_neighbors",
+            lambda table, balance, version: join_neighbors(table, balance, 1),
+        ):
+            self.assertNotEqual(
+                self._find_violation(range(SEEDS_TO_FAIL), by_call=False), ""
+            )
+
+    def test_joining_leaves_no_gap_in_a_hold(self):
+        for by_call in (False, True):
+            with (
+                self.subTest(by_call=by_call),
+                mock.patch.object(key_model_calls, "LOST_SHARE", 0.0),
+            ):
+                self._check_no_gap(by_call=by_call)
+
+    def _check_no_gap(self, *, by_call: bool) -> None:
+        """Without faults and lost answers, a held key stays held."""
+        model = key_model.Model(3, by_call=by_call)
+        model.fault_share = 0.0
+        model.run(15_000)
+        cut_count = 4 * len(model.stored.tables["desk"].ranges)
+        model.stored = _cut_in_four(model.stored)
+        gaps = []
+        for _ in range(200):
+            model.run(key_model.STEP_MS)
+            gaps += [
+                key
+                for key in key_model.PROBED_KEYS
+                if not any(t.holds(key) for t in model.targets.values())
+            ]
+        self.assertEqual(gaps, [])
+        self.assertLess(len(model.stored.tables["desk"].ranges), cut_count / 2)
+
+
+def _cut_in_four(whole: key_map.KeyMap) -> key_map.KeyMap:
+    """Returns a map whose ranges are cut; the parts differ by their tokens."""
+    table = whole.tables["desk"]
+    for key_range in table.ranges:
+        size = key_range.size // 4
+        parts = [
+            dataclasses.replace(
+                key_range,
+                first=key_range.first + n * size,
+                last=key_range.first + (n + 1) * size - 1,
+                token=f"part{n}",
+            )
+            for n in range(3)
+        ]
+        table = table.with_ranges(parts)
+    return dataclasses.replace(
+        whole, version=whole.version + 1, tables={"desk": table}
+    )
--- a/tests/test_range_limits.py
+++ b/tests/test_range_limits.py
@@ -93,6 +93,20 @@
         self.assertLessEqual(max(counts.values()), _LIMIT + 1)
         self.assertNotIn("i-2@1000", counts)
 
+    def test_the_last_target_holds_all_keys_in_one_range(self):
+        size = (_LAST + 1) // 256
+        ranges = [
+            key_map.KeyRange(
+                n * size, n * size + size - 1, f"i-{n % 8}@1000", n + 1
+            )
+            for n in range(256)
+        ]
+        fleet = range_fleet.Fleet(ranges, live=8, load=_load())
+        for number in range(1, 8):
+            fleet.lose(f"i-{number}@1000")
+        fleet.decide()
+        self.assertEqual(fleet.range_counts(), {"i-0@1000": 1})
+
 
 class LastKeyTest(unittest.TestCase):
     """A target without keys gets none from one that would have none left."""
