Grant as many key ranges as fit into an answer, those held first

Callers saw: nothing yet; a target with more than 80 ranges is never granted those with the highest keys, and requests for these keys are refused for good.

Cause: grants were cut off after 80, in the order of keys and without a log line, though what an answer may hold is a size, and most of it is tokens.

Change: grants are limited by size. If not all fit, ranges that the target holds come first and without their tokens, which it has used; the rest is logged. An answer that leaves a range out takes it away, so grants cannot be spread over several answers: a target over the limit of ranges joins neighbors at once, also those that still have a token, so that its next map can be granted in full.

Evidence: test_range_grants, on the code before: four of four fail (80 of 90 ranges granted; of 320 ranges handed to the last target 80 remain); now they pass, with ranges of the size that the platform's handler encodes.

--- a/primrosecross/domain/ownership/range_joining.py
+++ b/primrosecross/domain/ownership/range_joining.py
@@ -47,14 +47,23 @@
         and left.holder == right.holder
         and left.receiver == right.receiver == key_map_module.NO_HOLDER
         and holder.range_count > JOIN_ABOVE_RANGES
-        and _is_taken(left, balance)
-        and _is_taken(right, balance)
+        and _is_joinable(left, balance, holder)
+        and _is_joinable(right, balance, holder)
     )
 
 
-def _is_taken(key_range: _KeyRange, balance: _Balance) -> bool:
-    """Returns whether the holder needs no hand-over token for a range."""
-    return not key_range.token or balance.is_movable(key_range)
+def _is_joinable(
+    key_range: _KeyRange, balance: _Balance, holder: _Candidate
+) -> bool:
+    """Returns whether a range may lose its hand-over token.
+
+    Its holder has used it, or has more ranges than can surely be granted.
+    """
+    return (
+        not key_range.token
+        or balance.is_movable(key_range)
+        or holder.range_count > range_balance.MAX_RANGES_PER_TARGET
+    )
 
 
 def gather(table: _Table, balance: _Balance) -> _Table:
--- a/primrosecross/domain/ownership/target_watch.py
+++ b/primrosecross/domain/ownership/target_watch.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from primrosecross.domain.ownership import answer_grants
 from primrosecross.domain.ownership import grant_ledger
 from primrosecross.domain.ownership import heartbeat_order
 from primrosecross.domain.ownership import key_map as key_map_module
@@ -17,7 +18,6 @@
 from primrosecross.ports import clock as clock_port
 
 MIN_REFUSAL_GAP_MS = 20
-MAX_GRANTS = 80  # fits into an answer of 4 KiB
 MIN_HOLD_MS = 200
 MAX_TOKENS = 256
 ASSUMED_DRAIN_AGE_NS = 3_600_000_000_000  # longer than any drain
@@ -247,14 +247,15 @@
         holder = key_map.holders.get(target.last_heartbeat.incarnation_id)
         if table is None or hold_ms < MIN_HOLD_MS or _is_revoked(holder):
             return target_heartbeat_module.HeartbeatAnswer()
-        grants = tuple(
-            target_heartbeat_module.GrantedRange(
-                r.first, r.last, r.generation, r.token
-            )
-            for r in table.held_by(target.last_heartbeat.incarnation_id)
-            if r.receiver == key_map_module.NO_HOLDER
-            and r.generation > target.forfeited_version
-        )[:MAX_GRANTS]
+        grants = answer_grants.fitting(
+            (
+                r
+                for r in table.held_by(target.last_heartbeat.incarnation_id)
+                if r.receiver == key_map_module.NO_HOLDER
+                and r.generation > target.forfeited_version
+            ),
+            target.last_heartbeat.held,
+        )
         now_ns = self._clock.now_ns()
         if grants != target.granted:
             target.previously_granted = target.granted
