Revoke what a target was granted after it had gone

Callers saw: nothing yet. A target that ends just as the map gives it keys, or joins its ranges, keeps them until its next start, if there is one.

Cause: a gone target loses the generations up to the map that its daemon knew; a later generation is not covered, and only silent targets were revoked.

Change: gone targets are revoked too. What they lost is free at once as before.

Evidence: a test in test_range_decisions fails on the code before (nothing is decided) and passes now; the three test_no_key_has_two_holders of test_key_model that cover heartbeats, calls and joins passed.

--- a/primrosecross/domain/ownership/range_decisions.py
+++ b/primrosecross/domain/ownership/range_decisions.py
@@ -17,6 +17,10 @@
 
 DEFAULT_TYPICAL_MS = 100
 _READY = target_heartbeat.TargetState.READY.value
+_WITHOUT_SIGN_OF_LIFE = (
+    target_heartbeat.TargetState.SILENT.value,
+    target_heartbeat.TargetState.GONE.value,
+)
 _KeyRange = key_map_module.KeyRange
 _State = key_map_module.HolderState
 
@@ -142,7 +146,7 @@
         target = view.target
         if target is None or target.life != incarnation_id:
             return view.warmed_up
-        return target.state == target_heartbeat.TargetState.SILENT.value
+        return target.state in _WITHOUT_SIGN_OF_LIFE
 
     def assign_keys(self, service: str) -> None:
         """Frees, hands over, assigns, joins and rebalances keys."""
--- a/tests/test_range_decisions.py
+++ b/tests/test_range_decisions.py
@@ -136,6 +136,19 @@
         )
         self.assertEqual(_owners(new_map), {"i-2@1000"})
 
+    def test_a_gone_target_loses_later_grants_by_revocation(self):
+        """It was given keys again, or they were joined, as it ended."""
+        gone = fleet_fakes.target("i-1@1000", state="gone", forfeited=2)
+        other_view = fleet_fakes.vm_view("b", self.second_target)
+        self.map = self._decide(fleet_fakes.vm_view("a", gone), other_view)
+        self.assertEqual(self.map.holders["i-1@1000"].state, _REVOKING)
+        new_map = self._decide(
+            fleet_fakes.vm_view("a", gone),
+            other_view,
+            expired_ids=frozenset({"i-1@1000"}),
+        )
+        self.assertEqual(_owners(new_map), {"i-2@1000"})
+
     def test_grants_made_after_the_forfeit_stay(self):
         returned = fleet_fakes.target("i-1@1000", forfeited=2)
         self.assertIsNone(
