Free shards of the product's table after an owner was added

Callers would see: a coordinator that completes a hand-over to a new member and revokes another in one version, or a daemon that applies such a change, fails with KeyError.

Cause: the first entry of a table's VMs stands for no owner. Adding a VM to a new entry dropped the index of that name instead of the replaced one.

Change: the name of no owner keeps its index.

--- a/primrosecross/domain/ownership/assignment.py
+++ b/primrosecross/domain/ownership/assignment.py
@@ -189,9 +189,11 @@
         if not self._vm_indexes:
             self._vm_indexes = {name: i for i, name in enumerate(self.vms)}
         if vm not in self._vm_indexes:
-            self._vm_indexes[vm] = self._free_index()
-            self._vm_indexes.pop(self.vms[self._vm_indexes[vm]], None)
-            self.vms[self._vm_indexes[vm]] = vm
+            index = self._free_index()
+            if self.vms[index]:  # "" stays at entry 0
+                self._vm_indexes.pop(self.vms[index], None)
+            self._vm_indexes[vm] = index
+            self.vms[index] = vm
         return self._vm_indexes[vm]
 
     def _free_index(self) -> int:
