--- a/primrosecross/domain/ownership/range_decisions.py
+++ b/primrosecross/domain/ownership/range_decisions.py
@@ -12,10 +12,15 @@
 from primrosecross.domain.ownership import key_load
 from primrosecross.domain.ownership import key_map as key_map_module
 from primrosecross.domain.ownership import range_balance
+from primrosecross.domain.ownership import range_joining
 from primrosecross.domain.ownership import target_heartbeat
 
 DEFAULT_TYPICAL_MS = 100
 _READY = target_heartbeat.TargetState.READY.value
+_WITHOUT_SIGN_OF_LIFE = (
+    target_heartbeat.TargetState.SILENT.value,
+    target_heartbeat.TargetState.GONE.value,
+)
 _KeyRange = key_map_module.KeyRange
 _State = key_map_module.HolderState
 
@@ -141,10 +146,10 @@
         target = view.target
         if target is None or target.life != incarnation_id:
             return view.warmed_up
-        return target.state == target_heartbeat.TargetState.SILENT.value
+        return target.state in _WITHOUT_SIGN_OF_LIFE
 
     def assign_keys(self, service: str) -> None:
-        """Frees, hands over, assigns and rebalances the keys of a service."""
+        """Frees, hands over, assigns, joins and rebalances keys."""
         balance = range_balance.Balance(
             candidates=self._candidates(service),
             load=self._inputs.loads.get(service),
@@ -160,7 +165,9 @@
         if balance.candidates:
             table = self._reassign_draining(table, balance)
             table = self._assign_free_ranges(table, balance)
+            table = range_joining.join_neighbors(table, balance, self._version)
             table = balance.rebalance(table)
+            table = range_joining.gather(table, balance)
         self._tables[service] = table
         self._add_holders(table, balance, service)
 
@@ -290,7 +297,9 @@
                     dataclasses.replace(key_range, receiver=key_range.holder)
                 )
                 continue
-            for piece, incarnation_id in balance.divide(key_range):
+            for piece, incarnation_id in balance.divide(
+                key_range, table.neighbor_ids(key_range)
+            ):
                 changes.append(
                     dataclasses.replace(piece, receiver=incarnation_id)
                 )
@@ -316,12 +325,15 @@
         balance: range_balance.Balance,
     ) -> key_map_module.RangeTable:
         """Assigns free ranges to targets by their headroom."""
+        table = table.with_free_ranges_joined()
         balance.update_loads(table)
         changes: list[_KeyRange] = []
         for key_range in table.ranges:
             if key_range.holder != key_map_module.NO_HOLDER:
                 continue
-            for piece, incarnation_id in balance.divide(key_range):
+            for piece, incarnation_id in balance.divide(
+                key_range, table.neighbor_ids(key_range)
+            ):
                 changes.append(
                     dataclasses.replace(
                         piece,
