Linger at the close of a caller's connection

Callers that were still sending an upload when it was refused (413, 431, 503) lost the answer to a reset, 0.3 s after it. So did callers of large answers in a stop, if their next request crossed the close: the rest of the answer was destroyed.

Cause: a close beside unread input, or before input that still arrives, is a reset on real sockets. Input was discarded for 0.3 s at most, and only if some was unread at that moment.

Change: each close behind a last reply ends the output and discards input until the caller closes, is silent for 1 s, or has sent for 10 s or 64 MiB.

--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -29,7 +29,9 @@
 from primrosecross.adapters.http import http_parser
 
 RECEIVE_BYTES = 64 * 1024
-CLOSE_DRAIN_S = 0.3
+LINGER_S = 10.0  # in all, for a caller that still sends behind the last reply
+LINGER_IDLE_S = 1.0  # for a caller that does not
+LINGER_BYTES = 64 << 20  # then a caller never stops sending
 BACKLOG = 1024
 BACKLOG_READ_S = 0.2  # for the first request on a connection found in a stop
 MAX_AHEAD = 8  # requests of one connection that run or wait for their turn
@@ -189,9 +191,9 @@
                 self._await_close()
         except http_parser.RequestRejectedError as error:
             self._reject(error)
+            _linger(self._sock)
         except _Closed:
-            if not sockets.is_idle(self._sock):
-                _drain_before_close(self._sock)
+            _linger(self._sock)
 
     def abandon(self) -> None:
         """Ends the requests that were started and not answered."""
@@ -380,7 +382,6 @@
             self._send(HttpReply(error.status, [], body), close=True)
         except _Closed:
             pass
-        _drain_before_close(self._sock)
 
     def _send(
         self, reply: HttpReply, *, close: bool, method: str = "GET"
@@ -425,14 +426,24 @@
         watcher.close()
 
 
-def _drain_before_close(sock: gevent_socket.socket) -> None:
-    """Discards unread input before a close.
+def _linger(sock: gevent_socket.socket) -> None:
+    """Ends the output, and discards input until the caller closes.
 
-    Closing a socket with unread input resets the connection, and a reset could
-    make the caller lose the response.
+    Closing a socket resets the connection if input is unread or arrives later,
+    and a reset destroys what the caller has not received of the last reply.
+
+    Source: RFC 9112, section 9.6.
     """
     share = sockets.LoopShare()
-    with gevent.Timeout(CLOSE_DRAIN_S, False):
-        sock.shutdown(socket.SHUT_WR)
-        while data := sock.recv(RECEIVE_BYTES):
-            share.record(len(data))
+    deadline_s = time.monotonic() + LINGER_S
+    received_bytes = 0
+    sock.shutdown(socket.SHUT_WR)
+    while received_bytes < LINGER_BYTES:
+        data = b""
+        remaining_s = max(0.0, deadline_s - time.monotonic())
+        with gevent.Timeout(min(LINGER_IDLE_S, remaining_s), False):
+            data = sock.recv(RECEIVE_BYTES)
+        if not data:
+            return
+        received_bytes += len(data)
+        share.record(len(data))
