Wait in a stop for uploads in progress and for callers to take answers

Callers whose upload was still being sent 2.2 s after SIGTERM lost the connection 0.2 s later, though the grace lasted 3.6 s longer. The same exit reset connections whose caller was still sending behind an answer.

Cause: a stop waited only for requests that had been read whole and were not answered. The process exits without closing its sockets in order, and the kernel resets those with unread input.

Change: a stop also waits, within its limit, for connections with a part of a request and for those whose caller has not closed after the last answer.

Evidence: in both tests the stop ended in the middle of the upload before; now it ends after the answer.

--- a/primrosecross/adapters/fleet_shutdown.py
+++ b/primrosecross/adapters/fleet_shutdown.py
@@ -50,7 +50,7 @@
         gevent.sleep(IDLE_POLL_INTERVAL_S)
         elapsed_ms = (clock.now_ns() - started_ns) // 10**6
         is_idle = not (
-            callers.in_flight
+            callers.unfinished
             or node.gate.in_flight
             or peers.requests_in_flight()
         )
@@ -58,5 +58,5 @@
     _logger.info("stopped after %d ms, idle: %s", elapsed_ms, idle_polls > 0)
     peers.stop()
     for _ in range(MAX_ANSWER_POLLS):
-        if callers.in_flight:
+        if callers.unfinished:
             gevent.sleep(IDLE_POLL_INTERVAL_S)
--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -95,6 +95,8 @@
         self.idle: set[gevent_socket.socket] = set()
         self.stopped_reading = False
         self.in_flight = 0
+        self.receiving = 0  # connections with a part of a request
+        self.lingering = 0  # connections whose callers have not closed yet
         self.closing = False
 
     @property
@@ -107,6 +109,11 @@
         """Whether callers can connect."""
         return self._server.started
 
+    @property
+    def unfinished(self) -> int:
+        """Number of requests and connections that an exit would cut off."""
+        return self.in_flight + self.receiving + self.lingering
+
     def start(self) -> None:
         """Starts listening; raises OSError if the port is in use.
 
@@ -193,9 +200,17 @@
                 self._await_close()
         except http_parser.RequestRejectedError as error:
             self._reject(error)
-            _linger(self._sock)
+            self._linger()
         except _Closed:
+            self._linger()
+
+    def _linger(self) -> None:
+        """Closes gracefully."""
+        self._server.lingering += 1
+        try:
             _linger(self._sock)
+        finally:
+            self._server.lingering -= 1
 
     def abandon(self) -> None:
         """Ends the requests that were started and not answered."""
@@ -357,6 +372,19 @@
             data = _receive_more(self._sock, head_timeout_s)
         else:
             data = self._receive_first(idle_timeout_s)
+        if not data:
+            return None
+        self._server.receiving += 1
+        try:
+            return self._receive_rest(data, head_timeout_s)
+        finally:
+            self._server.receiving -= 1
+
+    def _receive_rest(
+        self, data: bytes, head_timeout_s: float
+    ) -> http_parser.HttpRequest | None:
+        """Returns the request that begins with `data`, None if cut off."""
+        parser = self._parser
         deadline_s = time.monotonic() + head_timeout_s
         share = sockets.LoopShare()
         while data:
--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -7,10 +7,13 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 import gevent
 from gevent import socket as gevent_socket
 
+from primrosecross.adapters import boot_clock
+from primrosecross.adapters import fleet_shutdown
 from primrosecross.adapters.http import http_connection
 from primrosecross.adapters.http import http_parser
 
@@ -20,6 +23,7 @@
 BODY_BYTES = 360_000
 PIECE_BYTES = 20_000
 PIECE_INTERVAL_S = 0.05
+STOP_LIMIT_MS = 6000
 
 
 def _upload(path: str) -> bytes:
@@ -119,6 +123,20 @@
 class StopTest(ConnectionTest):
     """What was sent before the end of a stop is answered."""
 
+    def _stop(self) -> gevent.Greenlet:
+        node = mock.Mock()
+        node.gate.in_flight = 0
+        peers = mock.Mock()
+        peers.requests_in_flight.return_value = 0
+        return gevent.spawn(
+            fleet_shutdown.run,
+            node=node,
+            callers=self.server,
+            peers=peers,
+            limit_ms=STOP_LIMIT_MS,
+            clock=boot_clock.BootClock(),
+        )
+
     # Requests read behind one that ran were dropped with its answer in a stop.
     def test_requests_sent_ahead_are_answered(self):
         sock = self.connect()
@@ -140,6 +158,33 @@
         self.server.stop_reading()
         self.assertEqual(self.receive_all(sock).count(b"HTTP/1.1 200 "), 3)
 
+    # An upload in progress was cut off, as nobody waited for it in a stop.
+    def test_upload_in_progress_at_the_end_of_admission_is_answered(self):
+        stop = self._stop()
+        gevent.sleep(fleet_shutdown.UNREADY_DELAY_MS / 1000 - 0.2)
+        sock = self.connect()
+        sock.sendall(_upload("/upload"))
+        self.send_slowly(sock)
+        self.assertFalse(stop.ready())
+        self.assertIn(b"HTTP/1.1 200 ", self.receive_all(sock))
+        sock.close()
+        stop.join(timeout=1.0)
+        self.assertTrue(stop.ready())
+
+    # A process exited beside unread input and reset the answer before it.
+    def test_exit_waits_until_a_caller_has_its_answer(self):
+        stop = self._stop()
+        gevent.sleep(fleet_shutdown.UNREADY_DELAY_MS / 1000 - 0.2)
+        sock = self.connect()
+        self.max_body_bytes = 1000
+        sock.sendall(_upload("/upload"))
+        self.send_slowly(sock)
+        self.assertFalse(stop.ready())
+        self.assertIn(b"HTTP/1.1 413 ", self.receive_all(sock))
+        sock.close()
+        stop.join(timeout=1.0)
+        self.assertTrue(stop.ready())
+
 
 if __name__ == "__main__":
     unittest.main()
