soak: callers that keep their connections through planned work

The soak's callers waited for each answer on a client that opens connections again, so it never saw what a stop does to requests sent ahead or to uploads. Its checks accepted every request without an answer and every end of a process.

Now other callers use each connection until it ends: single requests, requests ahead, uploads up to 360 kB in pieces. A request that was sent whole and whose connection ends without an answer is a violation if it ran or ended later than 200 ms after its last byte, unless a fault that is no planned work lies around it. So is a process that ends with a status that the scenario did not cause, and a stop longer than its grace.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 import gevent
 
 from soak import checks
+from soak import process_ends
 from soak import scenario
 from standins import sidecars
 
@@ -54,6 +55,43 @@
         self.assertEqual(len(checks.violations([], same_generation)), 1)
         self.assertEqual(len(checks.violations([], older_generation)), 1)
 
+    def test_reports_request_that_is_lost_without_a_disruption(self):
+        passed_on = checks.CallerResult("r", True, 0, False, 9.0, 9.1, 9.2)
+        ended_late = checks.CallerResult("s", True, 0, False, 9.0, 9.1, 9.4)
+        crossing = checks.CallerResult("t", True, 0, False, 9.0, 9.1, 9.2)
+        sent_in_part = checks.CallerResult("u", True, 0, False, 9.0, 0.0, 9.4)
+        results = [passed_on, ended_late, crossing, sent_in_part]
+        runs = [_run("r", "", 0, "a", 1)]
+        found = checks.violations(results, runs)
+        self.assertEqual([text.split()[0] for text in found], ["r", "s"])
+        for disruption, count in (
+            (checks.Disruption(1.0, 5.9), 2),
+            (checks.Disruption(1.0, 6.1), 0),
+            (checks.Disruption(9.1), 0),
+            (checks.Disruption(9.5), 2),
+        ):
+            found = checks.violations(results, runs, [disruption])
+            self.assertEqual(len(found), count, disruption)
+
+    def test_reports_process_that_ends_by_itself(self):
+        for expected, status, is_reported, is_started in (
+            (None, 1, True, True),
+            (0, -15, True, False),
+            (0, 0, False, False),
+            (9, -9, False, False),
+            (None, None, False, False),
+        ):
+            with self.subTest(expected=expected, status=status):
+                process = mock.Mock(args=["", "", "daemon"])
+                process.poll.return_value = status
+                fleet = mock.Mock(vms=[mock.Mock(daemon=process, worker=None)])
+                ends = process_ends.ProcessEnds(fleet)
+                if expected is not None:
+                    ends.expect(process, expected)
+                self.assertEqual(len(ends.violations()), is_reported)
+                self.assertEqual(len(ends.violations()), is_reported)
+                self.assertEqual(fleet.start_daemon.call_count, is_started)
+
 
 class FaultTasksTest(unittest.TestCase):
     """Faults that last longer than their injection."""
@@ -133,7 +171,7 @@
     """One short run."""
 
     def test_short_run_violates_no_guarantee(self):
-        for seed in (1, 2):
+        for seed in (1, 2, 3):
             with self.subTest(seed=seed):
                 self._play(seed)
 
