--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -3,9 +3,10 @@
 One task serves each connection: it reads requests and starts a task for each,
 which is killed when the caller disconnects. Requests that a caller sends ahead
 run at the same time if all of them may be repeated; they are answered in the
-order in which they came. A request behind an answer that closes the connection
-is never started. A connection that carries an invalid request gets the parser's
-status and is closed.
+order in which they came. In a stop, the answer that closes a connection is the
+one behind which the caller has sent nothing. A request behind one that asks for
+the close is never started. A connection that carries an invalid request gets
+the parser's status and is closed.
 
 Source: RFC 9112, sections 2.2, 5, 6.3, 7 and 9.3.2; RFC 9110, section 15.
 """
@@ -29,7 +30,9 @@
 from primrosecross.adapters.http import http_parser
 
 RECEIVE_BYTES = 64 * 1024
-CLOSE_DRAIN_S = 0.3
+LINGER_S = 10.0  # in all, for a caller that still sends behind the last reply
+LINGER_IDLE_S = 1.0  # for a caller that does not
+LINGER_BYTES = 64 << 20  # then a caller never stops sending
 BACKLOG = 1024
 BACKLOG_READ_S = 0.2  # for the first request on a connection found in a stop
 MAX_AHEAD = 8  # requests of one connection that run or wait for their turn
@@ -92,6 +95,8 @@
         self.idle: set[gevent_socket.socket] = set()
         self.stopped_reading = False
         self.in_flight = 0
+        self.receiving = 0  # connections with a part of a request
+        self.lingering = 0  # connections whose callers have not closed yet
         self.closing = False
 
     @property
@@ -104,6 +109,11 @@
         """Whether callers can connect."""
         return self._server.started
 
+    @property
+    def unfinished(self) -> int:
+        """Number of requests and connections that an exit would cut off."""
+        return self.in_flight + self.receiving + self.lingering
+
     def start(self) -> None:
         """Starts listening; raises OSError if the port is in use.
 
@@ -171,6 +181,7 @@
         self._reader = gevent.getcurrent()
         self._last_reply_s = 0.0
         self._has_started = False
+        self._awaits_turn = False
         self._awaits_request = False
         self._is_reading = False
         self._is_sending = False
@@ -189,9 +200,17 @@
                 self._await_close()
         except http_parser.RequestRejectedError as error:
             self._reject(error)
+            self._linger()
         except _Closed:
-            if not sockets.is_idle(self._sock):
-                _drain_before_close(self._sock)
+            self._linger()
+
+    def _linger(self) -> None:
+        """Closes gracefully."""
+        self._server.lingering += 1
+        try:
+            _linger(self._sock)
+        finally:
+            self._server.lingering -= 1
 
     def abandon(self) -> None:
         """Ends the requests that were started and not answered."""
@@ -209,13 +228,18 @@
 
     def _await_turn(self, request: http_parser.HttpRequest) -> None:
         """Waits until a request may run; raises _Closed if it never may."""
-        while self._is_closing or not self._may_start(request):
-            self._await_progress()
+        self._awaits_turn = True
+        try:
+            while self._is_closing or not self._may_start(request):
+                self._await_progress()
+        finally:
+            self._awaits_turn = False
 
     def _may_start(self, request: http_parser.HttpRequest) -> bool:
         """Returns whether a request may run beside those not yet answered.
 
-        During a stop it may not, as the last reply will close the connection.
+        During a stop requests run one by one, so that each reply can tell
+        whether it is the last one.
         """
         if not self._started:
             return True
@@ -276,11 +300,7 @@
             exchange = self._started[0]
             # A reply that closes the connection would void those behind it.
             is_last = len(self._started) == 1
-            close = is_last and (
-                exchange.reply.close
-                or self._server.closing
-                or not exchange.request.keep_alive
-            )
+            close = is_last and self._closes(exchange)
             self._is_closing = close
             if is_last and not self._parser.complete_requests:
                 self._parser.release()
@@ -295,6 +315,24 @@
                 self._close()
             self._progress.set()
 
+    def _closes(self, exchange: _Exchange) -> bool:
+        """Returns whether the reply to the last request started closes."""
+        if not exchange.request.keep_alive:
+            return True
+        may_close = exchange.reply.close or self._server.closing
+        return may_close and not self._has_input()
+
+    def _has_input(self) -> bool:
+        """Returns whether the caller has sent more than was started."""
+        return (
+            self._awaits_turn
+            or bool(self._parser.complete_requests)
+            or self._parser.rejected is not None
+            or self._parser.in_body
+            or (self._is_reading and not self._awaits_request)
+            or sockets.has_unread(self._sock)
+        )
+
     def _close(self) -> None:
         self._is_closed = True
         self._progress.set()
@@ -310,7 +348,12 @@
             raise parser.rejected
         while self._is_closing:
             self._await_progress()
-        if self._server.stopped_reading and self._has_started:
+        if (
+            self._server.stopped_reading
+            and self._has_started
+            and not self._started
+            and not self._has_input()
+        ):
             return None
         self._is_reading = True
         try:
@@ -324,8 +367,24 @@
         idle_timeout_s = limits.idle_timeout_ms / 1000
         if self._server.stopped_reading:
             idle_timeout_s = BACKLOG_READ_S
-        data = self._receive_first(idle_timeout_s)
         head_timeout_s = limits.head_timeout_ms / 1000
+        if parser.in_body:  # its first bytes came with the request before
+            data = _receive_more(self._sock, head_timeout_s)
+        else:
+            data = self._receive_first(idle_timeout_s)
+        if not data:
+            return None
+        self._server.receiving += 1
+        try:
+            return self._receive_rest(data, head_timeout_s)
+        finally:
+            self._server.receiving -= 1
+
+    def _receive_rest(
+        self, data: bytes, head_timeout_s: float
+    ) -> http_parser.HttpRequest | None:
+        """Returns the request that begins with `data`, None if cut off."""
+        parser = self._parser
         deadline_s = time.monotonic() + head_timeout_s
         share = sockets.LoopShare()
         while data:
@@ -380,7 +439,6 @@
             self._send(HttpReply(error.status, [], body), close=True)
         except _Closed:
             pass
-        _drain_before_close(self._sock)
 
     def _send(
         self, reply: HttpReply, *, close: bool, method: str = "GET"
@@ -425,14 +483,24 @@
         watcher.close()
 
 
-def _drain_before_close(sock: gevent_socket.socket) -> None:
-    """Discards unread input before a close.
+def _linger(sock: gevent_socket.socket) -> None:
+    """Ends the output, and discards input until the caller closes.
 
-    Closing a socket with unread input resets the connection, and a reset could
-    make the caller lose the response.
+    Closing a socket resets the connection if input is unread or arrives later,
+    and a reset destroys what the caller has not received of the last reply.
+
+    Source: RFC 9112, section 9.6.
     """
     share = sockets.LoopShare()
-    with gevent.Timeout(CLOSE_DRAIN_S, False):
-        sock.shutdown(socket.SHUT_WR)
-        while data := sock.recv(RECEIVE_BYTES):
-            share.record(len(data))
+    deadline_s = time.monotonic() + LINGER_S
+    received_bytes = 0
+    sock.shutdown(socket.SHUT_WR)
+    while received_bytes < LINGER_BYTES:
+        data = b""
+        remaining_s = max(0.0, deadline_s - time.monotonic())
+        with gevent.Timeout(min(LINGER_IDLE_S, remaining_s), False):
+            data = sock.recv(RECEIVE_BYTES)
+        if not data:
+            return
+        received_bytes += len(data)
+        share.record(len(data))
