Don't take an old heartbeat for the present after a restart

Callers saw two targets run requests for one key: a daemon that was killed and started again got as its first heartbeat one that was seconds old. It did not list keys that the target had got since, so the daemon reported them as released, and the coordinator gave them to another target while the first one still held them and worked on them.

Cause: the order of heartbeats is known within one process only. A new process knows no grant of its predecessor.

Change: EarlierGrants tells which moving ranges may be held though the heartbeat does not list them: all until the longest hold of an earlier process has run out (6.12 s after the start), except ranges of a newer generation than the first map that was read after the start, and ranges that a heartbeat listed under this generation and a later one reports as released. So a move that goes on across a restart waits only if the restart falls between the release and the report of it. The time that a silent target is waited for after a start is the same 6.12 s; it was the longest hold of the settings.

--- a/primrosecross/domain/ownership/target_watch.py
+++ b/primrosecross/domain/ownership/target_watch.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from primrosecross.domain.ownership import earlier_grants
 from primrosecross.domain.ownership import grant_ledger
 from primrosecross.domain.ownership import heartbeat_order
 from primrosecross.domain.ownership import key_map as key_map_module
@@ -62,9 +63,8 @@
         self._on_change = on_change
         self._first_refusal_ns = 0
         self._order = heartbeat_order.HeartbeatOrder(clock=clock)
-        # Grants of an earlier process of this daemon last no longer than this.
-        self._earlier_process_expiry_ns = (
-            clock.now_ns() + max_hold_ms * _NS_PER_MS
+        self._earlier_grants = earlier_grants.EarlierGrants(
+            lease=lease, clock=clock
         )
         # Grants of such a process that got no answer may be applied until then.
         self._earlier_doubts_expiry_ns = (
@@ -102,6 +102,7 @@
         previous = (target.state, target.last_heartbeat.slots)
         target.last_heartbeat = heartbeat
         target.last_heartbeat_ns = self._clock.now_ns()
+        self._earlier_grants.record(heartbeat)
         if target.state is not _State.DRAINING:
             target.state = heartbeat.state
         if target.state is _State.DRAINING and not target.draining_since_ns:
@@ -192,8 +193,9 @@
     ) -> tuple[key_map_module.KeyRange, ...]:
         """Returns the moving ranges that the target no longer holds.
 
-        The heartbeat arrived after the map stopped granting them, so no grant
-        of them can still be in transit to the target.
+        The heartbeat is newer than all others that this process answered, so
+        the target has applied or dropped each grant of this process before it
+        sent it. It may be older than a grant of an earlier process.
         """
         target.tokens = (target.tokens + list(target.last_heartbeat.released))[
             -MAX_TOKENS:
@@ -204,6 +206,7 @@
             if not any(
                 r.overlaps(h.first, h.last) for h in target.last_heartbeat.held
             )
+            and not self._earlier_grants.may_hold(r)
         )
 
     def _start_incarnation(
@@ -315,7 +318,7 @@
             if now_ns > max(
                 target.granted_expiry_ns,
                 target.ledger.expiry_ns(),
-                self._earlier_process_expiry_ns,
+                self._earlier_grants.expiry_ns,
             ):
                 target.forfeited_version = self._key_map().version
                 self._on_change()
--- a/tests/key_model.py
+++ b/tests/key_model.py
@@ -2,7 +2,7 @@
 
 Daemons, targets, competing coordinators and a store run on one clock in steps
 of STEP_MS. Faults: delayed messages, daemons killed, frozen or partitioned,
-targets crashed, the store down.
+targets crashed, the store down, heartbeats held up across a restart.
 """
 
 import dataclasses
@@ -21,6 +21,7 @@
 
 STEP_MS = 20
 VMS = 5
+LATE_HEARTBEAT_WEIGHT = 4  # among the other kinds of faults
 PROBED_KEYS = range(0, 65536, 4096)
 _NS_PER_MS = proof.NS_PER_MS
 
@@ -286,9 +287,16 @@
     Args:
         seed: Seed of all random choices.
         by_call: Whether calls grant keys, not the answers to heartbeats.
+        late_heartbeats: Whether heartbeats are held up across restarts.
     """
 
-    def __init__(self, seed: int, *, by_call: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        by_call: bool = False,
+        late_heartbeats: bool = False,
+    ) -> None:
         self.by_call = by_call
         self.random = random.Random(seed)
         self.clock = fakes.ManualClock()
@@ -310,7 +318,7 @@
             self._cut_off_peers,
             self._stop_store,
             self._partition_coordinator,
-        )
+        ) + LATE_HEARTBEAT_WEIGHT * late_heartbeats * (self._hold_up_heartbeat,)
 
     def wait_ms(self) -> int:
         """Returns how long a revocation waits."""
@@ -375,6 +383,30 @@
             daemon.up = False
             self.schedule(500, 4000, daemon.start_process)
 
+    def _hold_up_heartbeat(self, vm: str) -> None:
+        """Holds up a heartbeat of a target until its daemon was restarted.
+
+        Meanwhile another VM stops, whose keys move, and then this one.
+        """
+        daemon, target = self.daemons[vm], self.targets[vm]
+        target.holds_up_next = True
+        self.stopping_vm = self.random.choice(list(self.daemons))
+
+        def kill() -> None:
+            self.stopping_vm = vm
+            target.holds_up_all = True
+            self.schedule(100, 1000, stop)
+
+        def stop() -> None:
+            daemon.up = False
+            self.schedule(200, 1000, start)
+
+        def start() -> None:
+            daemon.start_process()
+            self.schedule(500, 2000, target.deliver_held_up)
+
+        self.schedule(1000, 4000, kill)
+
     def _crash_target(self, vm: str) -> None:
         target = self.targets[vm]
         if target.up:
--- a/tests/key_model_target.py
+++ b/tests/key_model_target.py
@@ -1,4 +1,9 @@
-"""Targets in the simulation of key_model: heartbeats, held keys, releases."""
+"""Targets in the simulation of key_model: heartbeats, held keys, releases.
+
+A heartbeat may be held up on its way until the daemon has been restarted.
+"""
+
+from collections.abc import Callable
 
 from primrosecross.domain.ownership import proof
 from primrosecross.domain.ownership import target_heartbeat
@@ -14,6 +19,9 @@
         self.vm = vm
         self.up = True
         self.started_ms = 0
+        self.holds_up_next = False
+        self.holds_up_all = False
+        self._held_up: list[Callable[[], None]] = []
         self.start_process()
 
     def start_process(self) -> None:
@@ -52,8 +60,19 @@
             held=tuple(self.held),
             released=tuple(self.released),
         )
+        if self.holds_up_next or self.holds_up_all:
+            self.holds_up_next = False
+            self._held_up.append(lambda: self._send(heartbeat, now_ms))
+            return
         self.model.schedule(0, 60, lambda: self._send(heartbeat, now_ms))
 
+    def deliver_held_up(self) -> None:
+        """Delivers the heartbeats that were held up, in their order."""
+        self.holds_up_next = self.holds_up_all = False
+        held_up, self._held_up = self._held_up, []
+        for position, deliver in enumerate(held_up):
+            self.model.schedule(400 * position, 400 * position, deliver)
+
     def carry_out(self, order: key_calls.KeyCall, arrived_ms: int) -> str:
         """Carries out a grant or a release; returns the hand-over token."""
         outside = {}
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -229,3 +229,95 @@
         self.assertEqual(
             self.watch.local_target.state, target_heartbeat.TargetState.DRAINING
         )
+
+
+class EarlierProcessTest(unittest.TestCase):
+    """A new process whose predecessor may have granted keys."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.ManualClock()
+        self.lease = proof.ProofLease(clock=self.clock)
+        self.map = fleet_fakes.make_map(
+            key_map.KeyRange(0, 99, "i-1@1000", 3),
+            key_map.KeyRange(100, _LAST, "i-1@1000", 4, receiver="i-2@1000"),
+            vms={"i-1@1000": "a", "i-2@1000": "b"},
+        )
+        self.watch = target_watch.TargetWatch(
+            lease=self.lease,
+            key_map=lambda: self.map,
+            max_hold_ms=10_000,
+            clock=self.clock,
+            on_change=lambda: None,
+        )
+        self._record_proof()
+
+    def _record_proof(self) -> None:
+        self.lease.record_proof(
+            proof.Proof(self.map.version, self.clock.now_ns()),
+            map_version=self.map.version,
+        )
+
+    def _released_after(self, *heartbeats) -> list[tuple[int, int, str]]:
+        for heartbeat in heartbeats:
+            self.clock.advance(10)
+            self.watch.handle_heartbeat(heartbeat)
+        released_ranges = self.watch.local_target.released_ranges
+        return [(r.first, r.last, r.token) for r in released_ranges]
+
+    def test_a_first_heartbeat_may_be_older_than_a_grant(self):
+        """The late one and the next were sent before the keys were granted."""
+        late = fleet_fakes.heartbeat(5, held=((0, 99, 3),))
+        next_late = fleet_fakes.heartbeat(6, held=((0, 99, 3),))
+        self.assertEqual(self._released_after(late, next_late), [])
+        newer = fleet_fakes.heartbeat(9, held=((0, 99, 3), (100, _LAST, 4)))
+        self.assertEqual(self._released_after(newer), [])
+
+    def test_a_release_that_is_seen_counts_at_once(self):
+        listed = fleet_fakes.heartbeat(5, held=((0, 99, 3), (100, _LAST, 4)))
+        at_work = fleet_fakes.heartbeat(
+            6, held=((0, 99, 3), (200, _LAST, 4)), released=((100, 199, "t1"),)
+        )
+        self.assertEqual(self._released_after(listed, at_work), [])
+        done = fleet_fakes.heartbeat(
+            7, held=((0, 99, 3),), released=((200, _LAST, "t2"),)
+        )
+        self.assertEqual(
+            [r[:2] for r in self._released_after(done)], [(100, _LAST)]
+        )
+
+    def test_an_expired_hold_may_have_been_renewed(self):
+        listed = fleet_fakes.heartbeat(5, held=((100, _LAST, 4),))
+        expired = fleet_fakes.heartbeat(6)
+        self.assertEqual(self._released_after(listed, expired), [])
+
+    def test_a_release_of_an_earlier_hold_does_not_count(self):
+        earlier = (100, _LAST, "earlier")
+        listed = fleet_fakes.heartbeat(
+            5, held=((100, _LAST, 4),), released=(earlier,)
+        )
+        expired = fleet_fakes.heartbeat(6, released=(earlier,))
+        self.assertEqual(self._released_after(listed, expired), [])
+
+    def test_a_release_of_an_older_generation_does_not_count(self):
+        listed = fleet_fakes.heartbeat(5, held=((100, _LAST, 2),))
+        released = fleet_fakes.heartbeat(6, released=((100, _LAST, "t"),))
+        self.assertEqual(self._released_after(listed, released), [])
+
+    def test_all_earlier_grants_expire(self):
+        self.assertEqual(self._released_after(fleet_fakes.heartbeat(5)), [])
+        self.clock.advance(proof.LEASE_MS)
+        self.assertEqual(self._released_after(fleet_fakes.heartbeat(6)), [])
+        self.clock.advance(proof.LEASE_MS * proof.DRIFT_SHARE)
+        self.assertEqual(
+            self._released_after(fleet_fakes.heartbeat(7)), [(100, _LAST, "")]
+        )
+
+    def test_a_range_of_a_later_map_was_not_granted_before(self):
+        self._released_after(fleet_fakes.heartbeat(5))
+        moved = key_map.KeyRange(0, 99, "i-1@1000", 6, receiver="i-2@1000")
+        table = self.map.tables["desk"].with_ranges([moved])
+        self.map = key_map.KeyMap(7, self.map.holders, {"desk": table})
+        self._record_proof()
+        self.assertEqual(
+            self._released_after(fleet_fakes.heartbeat(6)), [(0, 99, "")]
+        )
--- a/tests/test_key_model.py
+++ b/tests/test_key_model.py
@@ -7,6 +7,7 @@
 import unittest
 from unittest import mock
 
+from primrosecross.domain.ownership import earlier_grants
 from primrosecross.domain.ownership import grant_caller
 from primrosecross.domain.ownership import grant_ledger
 from primrosecross.domain.ownership import lease_extension
@@ -136,6 +137,26 @@
         self.assertEqual(len(held_keys), len(key_model.PROBED_KEYS))
 
 
+class LateHeartbeatsModelTest(unittest.TestCase):
+    """Random runs in which heartbeats arrive late at a restarted daemon."""
+
+    def _find_violation(self, seeds: range) -> str:
+        runs = (
+            key_model.Model(seed, late_heartbeats=True).run(LENGTH_MS)
+            for seed in seeds
+        )
+        return next((violation for violation in runs if violation), "")
+
+    def test_no_key_has_two_holders(self):
+        self.assertEqual(self._find_violation(range(SEEDS)), "")
+
+    def test_it_fails_if_a_new_process_believes_an_old_heartbeat(self):
+        with mock.patch.object(
+            earlier_grants.EarlierGrants, "may_hold", return_value=False
+        ):
+            self.assertNotEqual(self._find_violation(range(SEEDS_TO_FAIL)), "")
+
+
 class CalledGrantsModelTest(unittest.TestCase):
     """Random runs in which keys are granted by calls that lose answers."""
 
