Keep crash notes through a rolling restart

Callers lost bookings to a request that crashes its targets: after a rolling restart of the daemons it was let through again and again, two crashes a daemon.

Cause: the notes live in the memory of a process. It asked one member for them at its start, when it knew none, and then after 5 to 10 s. A broadcast held the new crash alone. Only the daemon beside a target looked.

Change: a new process fetches the notes of up to five members as soon as it knows some; requests wait for that, for at most 1 s and their deadline. A broadcast carries all crashes of the request. The daemon that takes a request looks before each attempt, and the gate once more when a queued request gets its slot.

--- a/primrosecross/domain/requests/dispatcher.py
+++ b/primrosecross/domain/requests/dispatcher.py
@@ -262,6 +262,9 @@
                 f"no target of {req.service} is available for the request",
                 NO_TARGET_RETRY_MS,
             )
+        refusal = self._gate.refuse_quarantined(req)
+        if refusal is not None:
+            return refusal
         started_ns = self._clock.now_ns()
         self._balancer.record_start(vm)
         result: outcome.Outcome = outcome.Unknown(
--- a/primrosecross/domain/requests/quarantine.py
+++ b/primrosecross/domain/requests/quarantine.py
@@ -3,7 +3,8 @@
 A request that was running on a target when the target vanished is recorded by
 its fingerprint. The crash note is broadcast before the caller gets its outcome,
 so that other daemons recognize the request when it is resent; a daemon that the
-broadcast does not reach learns of it by anti-entropy.
+broadcast does not reach learns of it by anti-entropy. A new process fetches the
+notes before it lets the first request through.
 After two crashes it is refused until an operator releases it or EXPIRY_MS
 pass without another crash. Requests that ran concurrently on the target are
 recorded too. One that is not yet quarantined is cleared by its next answer; any
@@ -12,6 +13,7 @@
 
 import collections
 import dataclasses
+import logging
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -36,9 +38,14 @@
 BATCH_DELAY_MS = 5
 BROADCAST_TIMEOUT_MS = 500
 SYNC_INTERVAL_MS = 10_000
+FIRST_SYNC_MEMBERS = 5  # some may have been restarted themselves
+FIRST_SYNC_WAIT_MS = 1000  # for the members to be known, and for their notes
+FIRST_SYNC_POLL_MS = 50
 SAME_CRASH_WINDOW_MS = 200
 MAX_ENTRIES = 10_000  # fingerprints, and released crashes
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspectRequest:
@@ -107,9 +114,14 @@
         self._pending: list[request_messages.CrashNote] = []
         self._broadcast_task: gevent.Greenlet | None = None
         self._recent_crashes: dict[str, tuple[str, int]] = {}
+        self._first_sync: gevent.Greenlet | None = None
+        self._has_synced = False
 
     def check(self, req: request.Request) -> outcome.NotRun | None:
-        """Refuses a quarantined request."""
+        """Refuses a quarantined request; waits for notes after a start."""
+        if self._first_sync is not None and not self._first_sync.dead:
+            remaining_ns = max(0, req.deadline_ns - self._clock.now_ns())
+            self._first_sync.join(timeout=remaining_ns / 1e9)
         if not self._notes:
             return None
         suspect = self._find_suspect(request_identity.fingerprint(req))
@@ -147,7 +159,8 @@
             age_ms=0,
         )
         self._add_note(note)
-        self._pending.append(note)
+        # A daemon that restarted since does not know the earlier crashes.
+        self._pending += self._notes_on(note.fingerprint)
         if self._broadcast_task is None or self._broadcast_task.dead:
             self._broadcast_task = gevent.spawn(self._broadcast_notes)
         self._broadcast_task.join(timeout=2 * BROADCAST_TIMEOUT_MS / 1000)
@@ -290,33 +303,64 @@
     ) -> operator_messages.Quarantined:
         """Returns the crash notes and releases known to this daemon."""
         self.suspects()  # Removes expired notes.
-        now_ns = self._clock.now_ns()
         notes = tuple(
-            dataclasses.replace(
-                recorded.note,
-                age_ms=(now_ns - recorded.crashed_ns) // lease_module.NS_PER_MS,
-            )
-            for notes_by_crash in self._notes.values()
-            for recorded in notes_by_crash.values()
+            note
+            for fingerprint in self._notes
+            for note in self._notes_on(fingerprint)
         )
         return operator_messages.Quarantined(
             notes, tuple(self._released_crashes)
         )
 
+    def _notes_on(self, fingerprint: str) -> list[request_messages.CrashNote]:
+        """Returns the notes on a request with their present age."""
+        now_ns = self._clock.now_ns()
+        return [
+            dataclasses.replace(
+                recorded.note,
+                age_ms=(now_ns - recorded.crashed_ns) // lease_module.NS_PER_MS,
+            )
+            for recorded in self._notes.get(fingerprint, {}).values()
+        ]
+
     def run(self) -> None:
-        """Periodically fetches the notes of a random member (anti-entropy)."""
+        """Fetches the notes of members, periodically (anti-entropy)."""
+        self._first_sync = gevent.spawn(self._sync_first)
+        self._first_sync.join()
         while True:
+            interval_ms = SYNC_INTERVAL_MS * random.uniform(0.5, 1.0)
+            if not self._has_synced:
+                interval_ms = min(interval_ms, FIRST_SYNC_WAIT_MS)
+            self._clock.sleep(interval_ms)
             self.sync_notes()
-            self._clock.sleep(SYNC_INTERVAL_MS * random.uniform(0.5, 1.0))
+
+    def _sync_first(self) -> None:
+        """Fetches the notes of several members as soon as some are known."""
+        until_ns = (
+            self._clock.now_ns() + FIRST_SYNC_WAIT_MS * lease_module.NS_PER_MS
+        )
+        while not self._has_synced and self._clock.now_ns() < until_ns:
+            others = self._others()
+            chosen = random.sample(others, min(len(others), FIRST_SYNC_MEMBERS))
+            gevent.joinall([gevent.spawn(self._sync_with, vm) for vm in chosen])
+            if not self._has_synced:
+                self._clock.sleep(FIRST_SYNC_POLL_MS)
+        if not self._has_synced:
+            _logger.warning("no member sent its notes on crashes after a start")
+
+    def _others(self) -> list[str]:
+        return [vm for vm in self._members() if vm != self._vm]
 
     def sync_notes(self) -> None:
         """Fetches and merges the notes and releases of a random member."""
-        others = [vm for vm in self._members() if vm != self._vm]
-        if not others:
-            return
+        others = self._others()
+        if others:
+            self._sync_with(random.choice(others))
+
+    def _sync_with(self, vm: str) -> None:
         try:
             reply = self._peers.call(
-                random.choice(others),
+                vm,
                 operator_messages.ListQuarantined(),
                 timeout_ms=BROADCAST_TIMEOUT_MS,
             )
@@ -324,6 +368,7 @@
             return
         if not isinstance(reply, operator_messages.Quarantined):
             return
+        self._has_synced = True
         self._record_released_crashes(
             set(reply.released) - set(self._released_crashes)
         )
--- a/primrosecross/domain/requests/target_gate.py
+++ b/primrosecross/domain/requests/target_gate.py
@@ -108,7 +108,7 @@
     def _run(self, req: request.Request) -> outcome.Outcome:
         if req.key and len(self._key_counts) < MAX_COUNTED_KEYS:
             self._key_counts[int(req.key)] += 1
-        refusal = self._check(req) or self._quarantine.check(req)
+        refusal = self._check(req) or self.refuse_quarantined(req)
         if refusal is None and req.key:
             refusal = self._wait_for_key(req)
         if refusal is not None:
@@ -121,6 +121,10 @@
         finally:
             self.queue.release(slot)
 
+    def refuse_quarantined(self, req: request.Request) -> outcome.NotRun | None:
+        """Refuses a request that is known here to crash targets."""
+        return self._quarantine.check(req)
+
     def _check(self, req: request.Request) -> outcome.NotRun | None:
         """Refuses requests that the local target cannot run."""
         target = self._watch.local_target
@@ -198,7 +202,7 @@
     def _run_in_slot(
         self, req: request.Request, slot: slot_queue.Slot
     ) -> outcome.Outcome:
-        refusal = self._check(req)
+        refusal = self._check(req) or self.refuse_quarantined(req)
         if refusal is None and req.key and not self._watch.holds(int(req.key)):
             refusal = outcome.NotRun(
                 outcome.Reason.NOT_OWNER,
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -298,3 +298,10 @@
         """Advances the time and lets other tasks run."""
         self.advance(duration_ms)
         gevent.sleep(0)
+
+
+class NoTimeline:
+    """A timeline that discards events."""
+
+    def record(self, event: object) -> None:
+        """Discards an event."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,6 +4,8 @@
 import functools
 import unittest
 
+import gevent
+
 from primrosecross.domain.membership import fleet_messages
 from primrosecross.domain.membership import fleet_state
 from primrosecross.domain.ownership import key_map
@@ -13,6 +15,7 @@
 from primrosecross.domain.requests import dispatcher
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import quarantine
+from primrosecross.domain.requests import request
 from primrosecross.domain.requests import request_messages
 from primrosecross.domain.requests import routes
 from primrosecross.domain.requests import target_gate
@@ -393,7 +396,7 @@
         self.targets.answer = lambda req: outcome.Unknown(
             outcome.Reason.ANSWER_LOST, "reset"
         )
-        self.gate._quarantine._timeline = _Timeline()
+        self.gate._quarantine._timeline = fleet_fakes.NoTimeline()
         for born_ms in (1000, 2000):
             self._send_heartbeat(born_ms=born_ms)
             result = self.gate.run(fleet_fakes.make_request())
@@ -404,9 +407,38 @@
         self.assertEqual(refused.reason, outcome.Reason.QUARANTINED)
         self.assertEqual(len(self.targets.ran), 2)
 
+    def _quarantine(self, req: request.Request) -> None:
+        self.gate._quarantine._timeline = fleet_fakes.NoTimeline()
+        for address in ("t1", "t2"):
+            self.gate._quarantine.record_crash(req, address)
+
+    def test_the_daemon_that_takes_a_request_refuses_a_quarantined_one(self):
+        """The other one was restarted and does not know of the crashes."""
+        self._update_entries(_entry("b"))
+        self.peers.handlers["b"] = _answered
+        self._quarantine(fleet_fakes.make_request())
+        self.assertEqual(self._run().reason, outcome.Reason.QUARANTINED)
+        self.assertEqual(self._forwards(), [])
+
+    def test_a_request_is_not_sent_again_once_it_is_quarantined(self):
+        self._update_entries(_entry("b"), _entry("c"))
 
-class _Timeline:
-    """A timeline that discards events."""
+        def crash(forward: request_messages.Forward):
+            self._quarantine(fleet_fakes.make_request())
+            return _lost(forward)
 
-    def record(self, event: object) -> None:
-        """Discards an event."""
+        self.peers.handlers = {"b": crash, "c": crash}
+        self.assertIsInstance(self._run(), outcome.Unknown)
+        self.assertEqual(len(self._forwards()), 1)
+
+    def test_a_queued_request_is_refused_once_it_is_quarantined(self):
+        self._send_heartbeat()
+        req = fleet_fakes.make_request()
+        slots = [self.gate.queue.acquire(req) for _ in range(2)]
+        queued = gevent.spawn(self.gate.run, req)
+        gevent.sleep(0)
+        self._quarantine(req)
+        for slot in slots:
+            self.gate.queue.release(slot)
+        self.assertEqual(queued.get().reason, outcome.Reason.QUARANTINED)
+        self.assertEqual(self.targets.ran, [])
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,12 +2,15 @@
 
 import unittest
 
+import gevent
+
 from primrosecross.domain import errors
 from primrosecross.domain.operators import operator_messages
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import quarantine
 from primrosecross.domain.requests import request
 from primrosecross.domain.requests import request_messages
+from tests import fleet_fakes
 from tests import request_fakes
 
 LOST = outcome.Unknown(outcome.Reason.ANSWER_LOST, "")
@@ -107,6 +110,15 @@
             quarantine_on_d.sync_notes()
         self.assertEqual(quarantine_on_d.suspects(), [])
 
+    def test_a_broadcast_carries_the_whole_note(self):
+        req = self.cluster.request(path="/crash")
+        self.cluster.peers.lost.add("d")
+        self.cluster.vms["a"].quarantine.record_crash(req, "t1")
+        self.cluster.peers.lost.clear()
+        self.cluster.vms["b"].quarantine.record_crash(req, "t2")
+        (suspect,) = self.cluster.vms["d"].quarantine.suspects()
+        self.assertTrue(suspect.refused)
+
     def test_a_late_note_does_not_undo_a_release(self):
         for via in "ab":
             self._send(via)
@@ -117,3 +129,56 @@
         quarantine_on_c.release(listed.notes[0].fingerprint)
         quarantine_on_c.handle_notes(request_messages.NoteCrashes(listed.notes))
         self.assertEqual(quarantine_on_c.suspects(), [])
+
+
+class RestartTest(unittest.TestCase):
+    """A new process "a" among members, of which "b" knows a quarantine."""
+
+    def setUp(self) -> None:
+        self.clock = fleet_fakes.GeventClock()
+        self.peers = fleet_fakes.Peers()
+        self.members: list[str] = ["a"]
+        self.req = fleet_fakes.make_request()
+        for vm in "bcd":
+            self.peers.handlers[vm] = self._make("bcd", vm).handle_list
+        informed = self._make((), "b")
+        for address in ("t1", "t2"):
+            informed.record_crash(self.req, address)
+        self.peers.handlers["b"] = informed.handle_list
+        self.restarted = self._make(self.members, "a")
+
+    def _make(self, members, vm: str) -> quarantine.Quarantine:
+        return quarantine.Quarantine(
+            vm=vm,
+            members=lambda: members,
+            peers=self.peers,
+            clock=self.clock,
+            timeline=fleet_fakes.NoTimeline(),
+        )
+
+    def _start(self) -> None:
+        task = gevent.spawn(self.restarted.run)
+        self.addCleanup(task.kill)
+        gevent.sleep(0)
+
+    def test_notes_are_fetched_before_the_first_request(self):
+        """The other members, of which two know nothing, become known late."""
+        self._start()
+        gevent.spawn(self.members.extend, "bcd")
+        result = self.restarted.check(self.req)
+        self.assertEqual(result.reason, outcome.Reason.QUARANTINED)
+
+    def test_a_member_that_does_not_answer_is_not_the_only_one_asked(self):
+        del self.peers.handlers["c"], self.peers.handlers["d"]
+        self.members.extend("cdb")
+        self._start()
+        result = self.restarted.check(self.req)
+        self.assertEqual(result.reason, outcome.Reason.QUARANTINED)
+
+    def test_a_daemon_alone_serves_after_a_while(self):
+        started_ns = self.clock.now_ns()
+        self._start()
+        self.assertIsNone(self.restarted.check(self.req))
+        waited_ms = (self.clock.now_ns() - started_ns) / 1e6
+        # The periodic task sleeps once before this one goes on.
+        self.assertLessEqual(waited_ms, 2 * quarantine.FIRST_SYNC_WAIT_MS)
