Replace the connection that the client of endless bytes opens

sockets.connect() no longer calls create_connection() since clients open their sockets themselves, so the fake socket of test_endless_bytes was never used and 35 of its checks failed at a refused connection. The tests now replace sockets.connect() as the client calls it; what they check is unchanged.

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -71,8 +71,8 @@
     ) -> http_response.HttpResponse:
         client = client or http_client.HttpClient(address="127.0.0.1:1")
         with mock.patch.object(
-            http_client.gevent_socket,
-            "create_connection",
+            http_client.sockets,
+            "connect",
             lambda *_, **__: sock,
         ):
             return client.exchange(
@@ -190,8 +190,8 @@
                 with (
                     self.subTest(name, order=order),
                     mock.patch.object(
-                        http_client.gevent_socket,
-                        "create_connection",
+                        http_client.sockets,
+                        "connect",
                         lambda *_, sock=sock, **__: sock,
                     ),
                 ):
