Bound the bodies in a daemon by one memory

What callers saw: when twelve daemons of 300 MB got two uploads of 24 MB each at once, daemons beside the target of uploads exceeded their memory and were killed, and the requests of all their callers ended without an answer.

Cause: a forwarded body was read as a whole before its request had a slot, and nothing bounded the sum. Bodies existed more often than they were counted: the rest of a body was copied with each piece sent, a buffer was copied when its body was complete, a connection kept its last request, and parser and library referred to each other, so that requests stayed until a collection. Buffers that grew in glibc's heap left holes of their own size.

Change: `BodyMemory` is one budget for a process, half of its limit. Requests may fill two thirds of it, so that answers always find room; bodies up to 256 KB have a reserve that large ones can't use. A caller's upload takes its declared length when its head has come, and is refused with 503 and a Retry-After that follows from how long bodies are held. Large uploads that come at less than 64 KB/s are given up once bodies are scarce. Forwarded bodies and answers of more than 1 MB are passed on as they come: a daemon holds their window. A request's body waits at its sender for a slot, within the limit of its call, and goes to the target on a new connection, as it can't be repeated. A slot is held until a streamed answer has been read. Answers wait for room at the daemon that buffers them for its caller. Buffers are returned without a copy and mapped on their own.

A body that is cut on its way to the target is reported as unknown; one that is cut before anything was sent, as not run. Quarantine tells requests with bodies of more than 1 MB by their length, as it does for all streams.

--- a/primrosecross/adapters/fleet_process.py
+++ b/primrosecross/adapters/fleet_process.py
@@ -10,6 +10,7 @@
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import listeners
+from primrosecross.adapters import process_memory
 from primrosecross.adapters import process_start
 from primrosecross.models import addresses
 
@@ -42,6 +43,7 @@
         peer_address: Where other daemons connect, if the port is free.
         last_peer_port: Last of the ports that may be used instead.
     """
+    process_memory.map_large_blocks()
     stopping = gevent_event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
--- a/primrosecross/adapters/http/http_client.py
+++ b/primrosecross/adapters/http/http_client.py
@@ -9,14 +9,18 @@
 import socket
 import time
 from collections.abc import Callable
+from collections.abc import Iterator
 
 import gevent
 import httptools
 from gevent import socket as gevent_socket
 
+from primrosecross.adapters import boot_clock
 from primrosecross.adapters import sockets
 from primrosecross.adapters.http import http_response
 from primrosecross.domain import errors
+from primrosecross.domain.requests import body as body_module
+from primrosecross.domain.requests import body_memory
 
 CONNECT_TIMEOUT_S = 1.0
 RECEIVE_BYTES = 64 * 1024
@@ -37,7 +41,8 @@
     Args:
         address: "ip:port" of the server.
         max_idle_connections: Maximum number of idle connections.
-        budget: Memory for bodies, which several clients may share.
+        bodies: Memory for bodies, which several clients may share; one of its
+            own if not given.
     """
 
     def __init__(
@@ -45,9 +50,11 @@
         *,
         address: str,
         max_idle_connections: int = 32,
-        budget: http_response.BodyBudget | None = None,
+        bodies: body_memory.BodyMemory | None = None,
     ) -> None:
-        self._budget = budget or http_response.BodyBudget()
+        self._bodies = bodies or body_memory.BodyMemory(
+            clock=boot_clock.BootClock()
+        )
         host, _, port = address.rpartition(":")
         self._address = (host, int(port))
         self._max_idle_connections = max_idle_connections
@@ -58,7 +65,7 @@
         self,
         *,
         head: bytes,
-        body: bytes = b"",
+        body: body_module.Body = b"",
         timeout_s: float,
         max_idle_s: float = 60.0,
         matches_request: Callable[
@@ -70,12 +77,15 @@
         new_connection: bool = False,
         ends_at_line: bool = False,
         ends_at_head: bool = False,
+        stream_above_bytes: int | None = None,
     ) -> http_response.HttpResponse:
         """Sends a request and returns the complete response.
 
+        A streamed body is sent on a new connection, as it can't be repeated.
+
         Args:
             head: Request line and headers, with the empty line.
-            body: Framed body.
+            body: Framed body, or a stream of the declared length.
             timeout_s: Time limit of the whole exchange.
             max_idle_s: Connections idle for longer are not reused.
             matches_request: Returns whether a response answers this request.
@@ -85,6 +95,8 @@
             ends_at_line: Whether to return once the body has a complete line,
                 with that line only.
             ends_at_head: Whether the response has no body, as to HEAD.
+            stream_above_bytes: Declared length of a response beyond which its
+                body is returned as a stream; None for no length.
 
         Raises:
             errors.ServerRefusedError: Nothing listens at the address.
@@ -93,16 +105,23 @@
                 the first byte of a response.
             errors.ResponseLostError: No complete response arrived.
         """
+        deadline_s = time.monotonic() + timeout_s
         with gevent.Timeout(timeout_s, False):
-            sock = None if new_connection else self._acquire_idle(max_idle_s)
+            if new_connection or not body_module.is_repeatable(body):
+                sock = None
+            else:
+                sock = self._acquire_idle(max_idle_s)
             parser = http_response.ResponseParser(
                 matches_request,
                 reused=sock is not None,
-                budget=self._budget,
+                bodies=self._bodies,
                 ends_at_line=ends_at_line,
                 ends_at_head=ends_at_head,
+                stream_above_bytes=stream_above_bytes,
+            )
+            return self._exchange(
+                sock, head, body, parser, allows_reuse, deadline_s
             )
-            return self._exchange(sock, head, body, parser, allows_reuse)
         raise errors.ResponseLostError(
             f"no response within {timeout_s * 1000:.0f} ms",
             remedy="check that the server is not overloaded",
@@ -112,26 +131,38 @@
         self,
         sock: gevent_socket.socket | None,
         head: bytes,
-        body: bytes,
+        body: body_module.Body,
         parser: http_response.ResponseParser,
         allows_reuse: Callable[[http_response.HttpResponse], bool],
+        deadline_s: float,
     ) -> http_response.HttpResponse:
+        pieces = body_module.pieces(body)
+        first_piece = _first(pieces)
         reused = sock is not None
         if sock is None:
             sock = self._connect()
-        reusable = False
-        try:
-            self._send(sock, head, body)
-            self._receive(sock, parser, reused=reused)
-            reusable = parser.is_reusable() and allows_reuse(parser.response)
-            return parser.response
-        finally:
+        is_streamed = False
+
+        def end() -> None:
             parser.release()
-            if reusable:
+            if parser.is_reusable() and allows_reuse(parser.response):
                 self._release(sock, parser.response)
             else:
                 sock.close()
 
+        try:
+            self._send(sock, head, first_piece, pieces)
+            self._receive(sock, parser, reused=reused)
+            if parser.is_streamed:
+                parser.response.body = ResponseStream(
+                    sock, parser, deadline_s=deadline_s, on_end=end
+                )
+                is_streamed = True
+            return parser.response
+        finally:
+            if not is_streamed:
+                end()
+
     def _acquire_idle(self, max_idle_s: float) -> gevent_socket.socket | None:
         now_s = time.monotonic()
         while self._idle:
@@ -164,15 +195,27 @@
         return sock
 
     def _send(
-        self, sock: gevent_socket.socket, head: bytes, body: bytes
+        self,
+        sock: gevent_socket.socket,
+        head: bytes,
+        first_piece: bytes,
+        other_pieces: Iterator[bytes],
     ) -> None:
         try:
-            sock.sendall(head + body if len(body) < RECEIVE_BYTES else head)
-            if len(body) >= RECEIVE_BYTES:
-                sock.sendall(body)
+            if len(first_piece) < RECEIVE_BYTES:
+                sock.sendall(head + first_piece)
+            else:
+                sock.sendall(head)
+                sock.sendall(first_piece)
+            for piece in other_pieces:
+                sock.sendall(piece)
         except OSError:
             # The server may have responded before reading the whole request.
             return
+        except errors.BodyError as error:
+            raise _response_lost(
+                f"the request's body was cut: {error.problem}"
+            ) from error
 
     def _receive(
         self,
@@ -184,7 +227,7 @@
         received = False
         share = sockets.LoopShare()
         try:
-            while not parser.complete:
+            while not (parser.complete or parser.is_streamed):
                 data = sock.recv(RECEIVE_BYTES)
                 if not data:
                     parser.handle_close()
@@ -201,7 +244,7 @@
             if reused and not received and isinstance(error, OSError):
                 raise _connection_closed() from error
             raise _response_lost(str(error)) from error
-        if parser.complete:
+        if parser.complete or parser.is_streamed:
             return
         if reused and not received:
             raise _connection_closed()
@@ -225,6 +268,85 @@
             entry.sock.close()
 
 
+class ResponseStream(body_module.Stream):
+    """Body of a response that is read while it is passed on.
+
+    Args:
+        sock: Connection to the server.
+        parser: Parser that has read the head of the response.
+        deadline_s: Monotonic time after which reading is given up.
+        on_end: Called once to reuse or close the connection.
+    """
+
+    def __init__(
+        self,
+        sock: gevent_socket.socket,
+        parser: http_response.ResponseParser,
+        *,
+        deadline_s: float,
+        on_end: Callable[[], None],
+    ) -> None:
+        super().__init__(int(parser.response.get("content-length")))
+        self._sock = sock
+        self._parser = parser
+        self._deadline_s = deadline_s
+        self._share = sockets.LoopShare()
+        self.add_done_callback(on_end)
+
+    def read(self) -> bytes:
+        """Returns the next piece, or no bytes at the end."""
+        parser = self._parser
+        while not parser.pieces and not parser.complete:
+            self._receive()
+        if parser.pieces:
+            return parser.pieces.popleft()
+        self.finish()
+        return b""
+
+    def _receive(self) -> None:
+        if self.finished:
+            raise _truncated("it was closed before its end")
+        data = b""
+        problem: object = "the connection closed or the deadline passed"
+        remaining_s = max(0.0, self._deadline_s - time.monotonic())
+        try:
+            with gevent.Timeout(remaining_s, False):
+                data = self._sock.recv(RECEIVE_BYTES)
+            if data:
+                self._parser.feed(data)
+                self._share.record(len(data))
+        except (OSError, httptools.HttpParserError, ValueError) as error:
+            if self._parser.complete:  # The bytes after it are not HTTP.
+                self._parser.has_excess = True
+                return
+            data, problem = b"", error
+        if not data:
+            self.close()
+            raise _truncated(problem)
+
+    def finish(self) -> None:
+        """Releases the connection and what was not read."""
+        self._parser.pieces.clear()
+        super().finish()
+
+
+def _truncated(problem: object) -> errors.BodyError:
+    return errors.BodyError(
+        f"the response was truncated: {problem}",
+        remedy="retry the request if it is idempotent",
+    )
+
+
+def _first(pieces: Iterator[bytes]) -> bytes:
+    """Returns the first piece of a request's body, before anything is sent."""
+    try:
+        return next(pieces, b"")
+    except errors.BodyError as error:
+        raise errors.RequestNotSentError(
+            error.problem, remedy="send the request again"
+        ) from error
+
+
 def _idle_limit_s(response: http_response.HttpResponse) -> float:
     """Returns how long a connection may stay idle before it is not reused.
 
--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -25,8 +25,10 @@
 from gevent import server as gevent_server
 from gevent import socket as gevent_socket
 
+from primrosecross.adapters import boot_clock
 from primrosecross.adapters import sockets
 from primrosecross.adapters.http import http_parser
+from primrosecross.domain.requests import body_memory
 
 RECEIVE_BYTES = 64 * 1024
 CLOSE_DRAIN_S = 0.3
@@ -68,6 +70,7 @@
         limits: Returns the current limits.
         may_overlap: Returns whether a request may run beside others of its
             connection.
+        bodies: Memory for bodies; one of its own if not given.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         may_overlap: Callable[
             [http_parser.HttpRequest], bool
         ] = lambda request: False,
+        bodies: body_memory.BodyMemory | None = None,
     ) -> None:
         self.handle = handle
         self.limits = limits
@@ -88,7 +92,9 @@
         self._server = gevent_server.StreamServer(
             listen, self._serve, backlog=BACKLOG
         )
-        self.buffered = http_parser.BufferedBytes()
+        self.bodies = bodies or body_memory.BodyMemory(
+            clock=boot_clock.BootClock()
+        )
         self.idle: set[gevent_socket.socket] = set()
         self.stopped_reading = False
         self.in_flight = 0
@@ -163,9 +169,7 @@
     def __init__(self, server: HttpServer, sock: gevent_socket.socket) -> None:
         self._server = server
         self._sock = sock
-        self._parser = http_parser.RequestParser(
-            server.limits(), server.buffered
-        )
+        self._parser = http_parser.RequestParser(server.limits(), server.bodies)
         self._started: collections.deque[_Exchange] = collections.deque()
         self._progress = gevent_event.Event()
         self._reader = gevent.getcurrent()
@@ -183,7 +187,9 @@
             while (request := self._read_request()) is not None:
                 self._await_turn(request)
                 self._start(request)
-                if not request.keep_alive:
+                keep_alive = request.keep_alive
+                del request  # and its body, before the next one is awaited
+                if not keep_alive:
                     self._await_close()
             if self._server.stopped_reading:
                 self._await_close()
@@ -197,9 +203,11 @@
         """Ends the requests that were started and not answered."""
         for exchange in self._started:
             exchange.task.kill(block=False)
+            if exchange.reply is not None:
+                self._server.bodies.give_back(len(exchange.reply.body))
         self._server.in_flight -= len(self._started)
         self._started.clear()
-        self._parser.release()
+        self._parser.release_all()
 
     def _await_close(self) -> None:
         """Waits for the last reply, if any is due; then raises _Closed."""
@@ -255,10 +263,14 @@
     def _run(self, exchange: _Exchange) -> None:
         """Runs a request and sends all replies that are due."""
         try:
-            exchange.reply = self._server.handle(exchange.request)
+            reply = self._server.handle(exchange.request)
         except Exception as error:
             _logger.exception("the request handler raised %r", error)
-            exchange.reply = HttpReply(502, [], b"", close=True)
+            reply = HttpReply(502, [], b"", close=True)
+        self._parser.release(len(exchange.request.body))
+        exchange.request = dataclasses.replace(exchange.request, body=b"")
+        self._server.bodies.charge(len(reply.body))
+        exchange.reply = reply
         if self._is_sending:
             return
         self._is_sending = True
@@ -282,12 +294,11 @@
                 or not exchange.request.keep_alive
             )
             self._is_closing = close
-            if is_last and not self._parser.complete_requests:
-                self._parser.release()
             self._send(
                 exchange.reply, close=close, method=exchange.request.method
             )
             self._started.popleft()
+            self._server.bodies.give_back(len(exchange.reply.body))
             self._server.in_flight -= 1
             self._last_reply_s = time.monotonic()
             self._update_idle()
@@ -377,7 +388,11 @@
             while self._started or self._is_closing:
                 self._await_progress()
             body = f"{error}\n".encode()
-            self._send(HttpReply(error.status, [], body), close=True)
+            headers = []
+            if error.retry_after_ms:
+                retry_after_s = error.retry_after_ms / 1000
+                headers.append(("Retry-After", f"{retry_after_s:.3f}"))
+            self._send(HttpReply(error.status, headers, body), close=True)
         except _Closed:
             pass
         _drain_before_close(self._sock)
@@ -393,7 +408,12 @@
         if close:
             lines.append("Connection: close")
         head = "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
-        self._sock.sendall(head if method == "HEAD" else head + reply.body)
+        body = b"" if method == "HEAD" else reply.body
+        if len(body) < RECEIVE_BYTES:
+            self._sock.sendall(head + body)
+        else:
+            self._sock.sendall(head)
+            self._sock.sendall(body)
 
 
 def _receive_more(sock: gevent_socket.socket, timeout_s: float) -> bytes:
--- a/primrosecross/adapters/http/http_parser.py
+++ b/primrosecross/adapters/http/http_parser.py
@@ -7,12 +7,17 @@
 
 import dataclasses
 import re
+import time
 
 import httptools
 
 from primrosecross.adapters.http import framing_limit
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import body_memory
 
 HEADS_PER_MESSAGE = 2  # the second allows for what is not in a header
+SLOW_BODY_S = 5.0  # then a large body must have come at the least rate
+MIN_BODY_BYTES_PER_S = 64 * 1024
 _SUPPORTED_VERSIONS = frozenset({"1.0", "1.1"})
 _REQUEST_TARGET = re.compile(r"[!-~]+")
 
@@ -57,30 +62,29 @@
         head_timeout_ms: Time from the first byte of a request to the end of
             its head, and for each later read of its body; 408 beyond it.
         idle_timeout_ms: Time that a connection may stay open without a request.
-        max_buffered_bytes: Buffered bodies of all callers; a request beyond it
-            is answered 503 before it is read.
     """
 
     max_head_bytes: int = 16 * 1024
     max_body_bytes: int = 64 << 20
     head_timeout_ms: int = 3000
     idle_timeout_ms: int = 15_000
-    max_buffered_bytes: int = 64 << 20
 
 
 class RequestRejectedError(Exception):
-    """The request is invalid; the connection closes with this status."""
+    """The request is not handled; the connection closes with this status.
 
-    def __init__(self, status: int, problem: str) -> None:
+    Args:
+        status: Status of the response.
+        problem: What is wrong.
+        retry_after_ms: When to send it again; 0 if not stated.
+    """
+
+    def __init__(
+        self, status: int, problem: str, retry_after_ms: int = 0
+    ) -> None:
         super().__init__(problem)
         self.status = status
-
-
-@dataclasses.dataclass(slots=True)
-class BufferedBytes:
-    """Number of body bytes that a server buffers."""
-
-    bytes: int = 0
+        self.retry_after_ms = retry_after_ms
 
 
 class RequestParser:
@@ -88,21 +92,25 @@
 
     Args:
         limits: Limits for requests.
-        buffered: Body bytes that the server buffers for all connections.
+        bodies: Memory for the bodies of all connections.
     """
 
-    def __init__(self, limits: ServerLimits, buffered: BufferedBytes) -> None:
+    def __init__(
+        self, limits: ServerLimits, bodies: body_memory.BodyMemory
+    ) -> None:
         self.limits = limits
-        self._buffered = buffered
-        self.buffered_bytes = 0
+        self._bodies = bodies
+        self._held_bytes = 0
         self.complete_requests: list[HttpRequest] = []
         self.rejected: RequestRejectedError | None = None
         self.in_body = False
         self._request = HttpRequest()
         self._target_pieces: list[bytes] = []
-        self._body = bytearray()
+        self._body = body.BodyBuffer()
+        self._body_started_s = 0.0
         self._head_bytes = 0
         self._body_bytes = 0
+        self._taken_bytes = 0
         self._framing = framing_limit.FramingLimit(limits.max_head_bytes)
         self._boundary_passed = False
         self._parser = httptools.HttpRequestParser(self)
@@ -156,8 +164,8 @@
         self._boundary_passed = True
         self._request = HttpRequest()
         self._target_pieces.clear()
-        self._body.clear()
-        self._head_bytes = self._body_bytes = 0
+        self._body = body.BodyBuffer()
+        self._head_bytes = self._body_bytes = self._taken_bytes = 0
         self.in_body = False
 
     def on_url(self, url: bytes) -> None:
@@ -201,8 +209,26 @@
             )
         self._check_transfer_encoding(request)
         length = request.get("content-length")
-        if length.isdigit() and int(length) > self.limits.max_body_bytes:
-            raise RequestRejectedError(413, "the body is too long")
+        if length.isdigit():
+            if int(length) > self.limits.max_body_bytes:
+                raise RequestRejectedError(413, "the body is too long")
+            self._take_memory(int(length))
+        self._body_started_s = time.monotonic()
+
+    def _take_memory(self, byte_count: int) -> None:
+        """Takes memory for a body; raises RequestRejectedError."""
+        if not self._bodies.take(
+            byte_count,
+            body_bytes=self._taken_bytes + byte_count,
+            kind=body_memory.Kind.REQUEST,
+        ):
+            raise RequestRejectedError(
+                503,
+                "the server buffers too many request bodies",
+                self._bodies.retry_after_ms(byte_count),
+            )
+        self._taken_bytes += byte_count
+        self._held_bytes += byte_count
 
     def _check_transfer_encoding(self, request: HttpRequest) -> None:
         transfer_encodings = [
@@ -221,31 +247,50 @@
 
     def on_body(self, piece: bytes) -> None:
         """Handles a part of the body; raises RequestRejectedError."""
-        self._body += piece
         self._framing.record_body(len(piece))
         self._body_bytes += len(piece)
-        self.buffered_bytes += len(piece)
-        self._buffered.bytes += len(piece)
-        if self._buffered.bytes > self.limits.max_buffered_bytes:
-            raise RequestRejectedError(
-                503, "the server buffers too many request bodies"
-            )
         if self._body_bytes > self.limits.max_body_bytes:
             raise RequestRejectedError(413, "the body is too long")
-
-    def release(self) -> None:
-        """Subtracts the bodies parsed so far from the server's count."""
-        self._buffered.bytes -= self.buffered_bytes
-        self.buffered_bytes = 0
+        if self._body_bytes > self._taken_bytes:  # a chunked body
+            self._take_memory(self._body_bytes - self._taken_bytes)
+        self._check_rate()
+        self._body.write(piece)
+
+    def _check_rate(self) -> None:
+        """Rejects a large body that comes slowly and keeps others out."""
+        elapsed_s = time.monotonic() - self._body_started_s
+        if (
+            elapsed_s > SLOW_BODY_S
+            and self._taken_bytes > self._bodies.small_bytes
+            and self._body_bytes < elapsed_s * MIN_BODY_BYTES_PER_S
+            and self._bodies.is_scarce()
+        ):
+            raise RequestRejectedError(408, "the body comes too slowly")
+
+    def release(self, byte_count: int) -> None:
+        """Returns the memory of a request's body."""
+        self._held_bytes -= byte_count
+        self._bodies.give_back(byte_count)
+
+    def release_all(self) -> None:
+        """Ends the parsing and returns the memory of all bodies.
+
+        The parser of the library refers to this one; without the end of this
+        cycle bodies would stay until the next collection.
+        """
+        self._parser = None
+        self._body = body.BodyBuffer()
+        self._bodies.give_back(self._held_bytes)
+        self._held_bytes = 0
 
     def on_message_complete(self) -> None:
         """Completes the request."""
         self._boundary_passed = True
-        self._request.body = bytes(self._body)
-        self._body.clear()
+        self._request.body = self._body.take()
         self._request.keep_alive = self._parser.should_keep_alive()
         self.in_body = False
         self.complete_requests.append(self._request)
+        self._request = HttpRequest()
 
 
 def _is_transfer_encoding(name: str) -> bool:
--- a/primrosecross/adapters/http/http_response.py
+++ b/primrosecross/adapters/http/http_response.py
@@ -1,16 +1,17 @@
 """HTTP/1.1 response parser with limits, on llhttp."""
 
+import collections
 import dataclasses
 from collections.abc import Callable
 
 import httptools
 
 from primrosecross.adapters.http import framing_limit
+from primrosecross.domain.requests import body as body_module
+from primrosecross.domain.requests import body_memory
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 << 20
-SMALL_BODY_BYTES = 256 * 1024
-MEMORY_DIVISOR = 4  # 1/4 of the memory may hold responses being read
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,7 +21,7 @@
     Attributes:
         status: Status code.
         headers: Names in lower case, with their values in order.
-        body: Complete body.
+        body: Complete body, or a stream of one that is still being read.
         has_framing: Whether Content-Length or chunks delimit the body.
         is_first: Whether no other response precedes it on its connection,
             apart from interim ones. Only such a response is known to be to the
@@ -29,7 +30,7 @@
 
     status: int = 0
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
-    body: bytes = b""
+    body: body_module.Body = b""
     has_framing: bool = False
     is_first: bool = False
 
@@ -42,25 +43,6 @@
         return [value for key, value in self.headers if key == name]
 
 
-@dataclasses.dataclass(slots=True)
-class BodyBudget:
-    """Memory for the bodies of responses that are being read.
-
-    Attributes:
-        max_bytes: Size of all these bodies beyond which one of more than
-            SMALL_BODY_BYTES is not read further.
-        used_bytes: Their size now.
-    """
-
-    max_bytes: int = MAX_BODY_BYTES
-    used_bytes: int = 0
-
-    @classmethod
-    def of_memory(cls, memory_bytes: int) -> "BodyBudget":
-        """Returns a budget for a memory limit of the process, 0 if not set."""
-        return cls(memory_bytes // MEMORY_DIVISOR or MAX_BODY_BYTES)
-
-
 class ResponseParser:
     """Parses the response to one request; detects bytes that follow it.
 
@@ -69,13 +51,18 @@
     Args:
         matches_request: Returns whether a response answers the request.
         reused: Whether the connection served another request before.
-        budget: Memory for bodies.
+        bodies: Memory for bodies.
         ends_at_line: Whether the first line of the body completes the response.
+        ends_at_head: Whether the response has no body, as to HEAD.
+        stream_above_bytes: Declared length beyond which a body is not buffered;
+            None for no length.
 
     Attributes:
         response: The response, once it is complete.
         complete: Whether the response is complete.
         has_excess: Whether bytes follow it.
+        is_streamed: Whether its body goes to `pieces` instead.
+        pieces: Parts of a streamed body that were not taken yet.
     """
 
     def __init__(
@@ -83,20 +70,25 @@
         matches_request: Callable[[HttpResponse], bool],
         *,
         reused: bool,
-        budget: BodyBudget,
+        bodies: body_memory.BodyMemory,
         ends_at_line: bool = False,
         ends_at_head: bool = False,
+        stream_above_bytes: int | None = None,
     ) -> None:
+        self._stream_above_bytes = stream_above_bytes
+        self.is_streamed = False
+        self.pieces: collections.deque[bytes] = collections.deque()
         self._ends_at_line = ends_at_line
         self._ends_at_head = ends_at_head
-        self._budget = budget
+        self._bodies = bodies
         self.response = HttpResponse(is_first=not reused)
         self.complete = False
         self._matches_request = matches_request
         self._in_body = False
         self.has_excess = False
         self._keep_alive = False
-        self._body = bytearray()
+        self._body = body_module.BodyBuffer()
+        self._held_bytes = 0
         # Both count the responses that are skipped, too.
         self._body_bytes = 0
         self._framing = framing_limit.FramingLimit(MAX_HEAD_BYTES)
@@ -149,8 +141,18 @@
         length = response.get("content-length")
         if self._ends_at_head:
             self._complete_at_head()
-        elif length.isdigit() and int(length) > MAX_BODY_BYTES:
-            raise ValueError("the response body is too long")
+        elif length.isdigit():
+            if int(length) > MAX_BODY_BYTES:
+                raise ValueError("the response body is too long")
+            self.is_streamed = self._may_stream(int(length))
+
+    def _may_stream(self, length: int) -> bool:
+        return (
+            self._stream_above_bytes is not None
+            and length > self._stream_above_bytes
+            and self.response.status >= 200
+            and self._matches_request(self.response)
+        )
 
     def _complete_at_head(self) -> None:
         """Completes the response to a HEAD request, whose length is no body's.
@@ -164,38 +166,54 @@
         """Handles a part of the body; raises ValueError."""
         if self.complete:
             return
-        self._body += piece
         self._body_bytes += len(piece)
         self._framing.record_body(len(piece))
-        self._budget.used_bytes += len(piece)
         if self._body_bytes > MAX_BODY_BYTES:
             raise ValueError("the response body is too long")
-        if (
-            self._budget.used_bytes > self._budget.max_bytes
-            and self._body_bytes > SMALL_BODY_BYTES
+        if self.is_streamed:
+            self.pieces.append(piece)
+            return
+        if not self._bodies.take(
+            len(piece),
+            body_bytes=self._body_bytes,
+            kind=body_memory.Kind.ANSWER,
         ):
             raise ValueError("too many response bodies are being read")
+        self._held_bytes += len(piece)
+        self._body.write(piece)
         if self._ends_at_line and b"\n" in piece:
-            self.response.body = bytes(self._body.partition(b"\n")[0])
+            self.response.body = self._body.take().partition(b"\n")[0]
             self.complete = self.has_excess = True
 
     def release(self) -> None:
-        """Returns the memory for bodies to the budget."""
-        self._budget.used_bytes -= self._body_bytes
-        self._body_bytes = 0
+        """Ends the parsing and returns the memory for bodies.
+
+        The parser of the library refers to this one, whose functions refer to
+        the request; without the end of this cycle the bodies of both would stay
+        until the next collection.
+        """
+        self._parser = None
+        self._bodies.give_back(self._held_bytes)
+        self._held_bytes = 0
 
     def on_message_complete(self) -> None:
         """Completes or skips a response."""
         if self.complete:
             return
+        if self.is_streamed:
+            self._complete()
+            return
         is_interim = self.response.status < 200
         if is_interim or not self._matches_request(self.response):
             is_first = is_interim and self.response.is_first
             self.response = HttpResponse(is_first=is_first)
-            self._body.clear()
+            self._body = body_module.BodyBuffer()
             self._in_body = False
             return
-        self.response.body = bytes(self._body)
+        self.response.body = self._body.take()
+        self._complete()
+
+    def _complete(self) -> None:
         self._keep_alive = self._parser.should_keep_alive()
         self.complete = True
 
@@ -207,7 +225,7 @@
             and not self.complete
             and self._matches_request(self.response)
         ):
-            self.response.body = bytes(self._body)
+            self.response.body = self._body.take()
             self.complete = True
 
     def is_reusable(self) -> bool:
--- a/primrosecross/adapters/http/key_calls_http.py
+++ b/primrosecross/adapters/http/key_calls_http.py
@@ -5,13 +5,16 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 
+from primrosecross.adapters import boot_clock
 from primrosecross.adapters.http import http_client
 from primrosecross.adapters.http import http_response
 from primrosecross.adapters.http import request_echo
 from primrosecross.domain import errors
+from primrosecross.domain.requests import body_memory
 from primrosecross.ports import key_calls
 
 MAX_IDLE_S = 5.0
+MAX_ANSWER_BYTES = 4 << 20  # of all answers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,9 +54,13 @@
     def __init__(self, *, address: str, dialect: Dialect) -> None:
         self._dialect = dialect
         # Answers have short bodies or none; a faulty target's may never end.
-        budget = http_response.BodyBudget(max_bytes=0)
+        bodies = body_memory.BodyMemory(
+            clock=boot_clock.BootClock(),
+            max_bytes=0,
+            reserve_bytes=MAX_ANSWER_BYTES,
+        )
         self._clients = {
-            order_type: http_client.HttpClient(address=address, budget=budget)
+            order_type: http_client.HttpClient(address=address, bodies=bodies)
             for order_type in dialect.paths
         }
         self._echo = request_echo.RequestEcho(dialect.request_id)
--- a/primrosecross/adapters/peers/peer_body.py
+++ b/primrosecross/adapters/peers/peer_body.py
@@ -17,7 +17,7 @@
 from primrosecross.domain import stream_messages
 from primrosecross.domain.requests import body
 
-WINDOW_BYTES = 256 * 1024
+WINDOW_BYTES = body.STREAM_WINDOW_BYTES
 PIECE_BYTES = 32 * 1024
 STALL_TIMEOUT_S = 5.0
 
@@ -135,11 +135,18 @@
     Args:
         source: The body.
         on_ready: Called when `ready_message` is set for the writer.
+        max_stall_s: How long the receiver may read nothing; None if the call
+            that the body belongs to has a time limit of its own.
     """
 
     def __init__(
-        self, *, source: body.Stream, on_ready: Callable[["Outgoing"], None]
+        self,
+        *,
+        source: body.Stream,
+        on_ready: Callable[["Outgoing"], None],
+        max_stall_s: float | None = STALL_TIMEOUT_S,
     ) -> None:
+        self._max_stall_s = max_stall_s
         self._source = source
         self._on_ready = on_ready
         self._credit_bytes = WINDOW_BYTES
@@ -197,9 +204,9 @@
             if self._stopped:
                 return False
             self._state_changed.clear()
-            if not self._state_changed.wait(timeout=STALL_TIMEOUT_S):
+            if not self._state_changed.wait(timeout=self._max_stall_s):
                 raise errors.BodyError(
-                    f"the receiver read nothing for {STALL_TIMEOUT_S:.0f} s",
+                    f"the receiver read nothing for {self._max_stall_s:.0f} s",
                     remedy="read the body faster",
                 )
         self._credit_bytes -= len(part)
--- a/primrosecross/adapters/peers/peer_connection.py
+++ b/primrosecross/adapters/peers/peer_connection.py
@@ -356,6 +356,7 @@
             on_ready=functools.partial(
                 self._writer.enqueue_body, call, is_reply
             ),
+            max_stall_s=peer_body.STALL_TIMEOUT_S if is_reply else None,
         )
         self._in_flight.outgoing[call, is_reply] = outgoing
         if self.closed:
--- a/primrosecross/domain/fleet_node.py
+++ b/primrosecross/domain/fleet_node.py
@@ -24,11 +24,13 @@
 from primrosecross.domain.ownership import target_heartbeat
 from primrosecross.domain.ownership import target_watch
 from primrosecross.domain.requests import body
+from primrosecross.domain.requests import body_memory
 from primrosecross.domain.requests import dispatcher as dispatcher_module
 from primrosecross.domain.requests import forwards
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import quarantine as quarantine_module
 from primrosecross.domain.requests import replies
+from primrosecross.domain.requests import request
 from primrosecross.domain.requests import request_messages
 from primrosecross.domain.requests import route_lookup
 from primrosecross.domain.requests import routes
@@ -92,6 +94,8 @@
         ports: Implementations of the ports.
         timeline: Records events.
         limits: Its limits.
+        bodies: Memory for bodies; one without a limit of the process if not
+            given.
     """
 
     def __init__(
@@ -101,7 +105,9 @@
         ports: FleetPorts,
         timeline: events.Timeline,
         limits: NodeLimits,
+        bodies: body_memory.BodyMemory | None = None,
     ) -> None:
+        self.bodies = bodies or body_memory.BodyMemory(clock=ports.clock)
         self._limits = limits
         self._identity = identity
         self._ports = ports
@@ -123,6 +129,7 @@
             gate=self.gate,
             peers=ports.peers,
             clock=ports.clock,
+            bodies=self.bodies,
         )
         self._dispatch = self._make_handlers()
 
@@ -277,15 +284,8 @@
         if refusal is not None:
             body.close(forward.body)
             return replies.reply_of(refusal, forward.request_id)
-        try:
-            content = body.read_all(forward.body)
-        except errors.BodyError as error:
-            refusal = outcome.NotRun(outcome.Reason.BODY_CUT, str(error))
-            return replies.reply_of(refusal, forward.request_id)
-        req = forwards.from_message(
-            forward, now_ns=self._ports.clock.now_ns(), body=content
-        )
-        result = self.gate.run(req)
+        req = forwards.from_message(forward, now_ns=self._ports.clock.now_ns())
+        result = self._run_forwarded(req)
         if not isinstance(result, outcome.Answered):
             _logger.warning(
                 "forwarded request failed: %s",
@@ -299,11 +299,38 @@
                 },
             )
         else:
-            result = dataclasses.replace(
-                result, body=body.stream_if_large(bytes(result.body))
-            )
+            content = body.stream_if_large(result.body)
+            self._charge_until_done(content)
+            result = dataclasses.replace(result, body=content)
         return replies.reply_of(result, req.request_id)
 
+    def _run_forwarded(self, req: request.Request) -> outcome.Outcome:
+        """Runs a request if there is room for what is held of its body."""
+        held_bytes = body.held_bytes(req.body)
+        if not self.bodies.take(
+            held_bytes,
+            body_bytes=held_bytes,
+            kind=body_memory.Kind.REQUEST,
+        ):
+            body.close(req.body)
+            return outcome.NotRun(
+                outcome.Reason.OVERLOADED,
+                f"no memory for a body of {len(req.body)} bytes",
+                self.bodies.retry_after_ms(held_bytes),
+            )
+        try:
+            return self.gate.run(req)
+        finally:
+            self.bodies.give_back(held_bytes)
+
+    def _charge_until_done(self, content: body.Body) -> None:
+        """Counts what is held of an answer until it has been sent."""
+        held_bytes = body.held_bytes(content)
+        self.bodies.charge(held_bytes)
+        body.add_done_callback(
+            content, lambda: self.bodies.give_back(held_bytes)
+        )
+
     def report(self) -> fleet_messages.Sync:
         """Returns a report for the coordinator and resets the key counts."""
         return fleet_messages.Sync(
--- a/primrosecross/domain/requests/body.py
+++ b/primrosecross/domain/requests/body.py
@@ -2,11 +2,13 @@
 
 import abc
 import functools
+import io
 from collections.abc import Callable
 from collections.abc import Iterator
 
 UNKNOWN_LENGTH = -1
 BUFFERED_PIECE_BYTES = 256 * 1024
+STREAM_WINDOW_BYTES = 256 * 1024  # of a stream, held by its receiver
 # Larger bodies are streamed, so that short messages are sent in between.
 MAX_FRAMED_BYTES = 1 << 20
 
@@ -73,18 +75,23 @@
 
     def __init__(self, buffered: bytes) -> None:
         super().__init__(len(buffered))
-        self._unread = buffered
+        self._buffered = buffered
+        self._read_bytes = 0
 
     def read(self) -> bytes:
         """Returns the next piece, or no bytes at the end."""
-        piece, self._unread = (
-            self._unread[:BUFFERED_PIECE_BYTES],
-            self._unread[BUFFERED_PIECE_BYTES:],
-        )
+        first = self._read_bytes
+        piece = self._buffered[first : first + BUFFERED_PIECE_BYTES]
+        self._read_bytes += len(piece)
         if not piece:
             self.finish()
         return piece
 
+    def finish(self) -> None:
+        """Releases the body."""
+        self._buffered = b""
+        super().finish()
+
 
 Body = bytes | Stream
 
@@ -107,6 +114,33 @@
         yield piece
 
 
+@functools.singledispatch
+def held_bytes(source: Body) -> int:
+    """Returns the bytes of a body that are in memory while it is in use."""
+    return len(source)
+
+
+@held_bytes.register
+def _(source: Stream) -> int:
+    return min(len(source) or STREAM_WINDOW_BYTES, STREAM_WINDOW_BYTES)
+
+
+@held_bytes.register
+def _(source: BufferedStream) -> int:
+    return len(source)
+
+
+@functools.singledispatch
+def is_repeatable(source: Body) -> bool:
+    """Returns whether a body can be sent more than once."""
+    return True
+
+
+@is_repeatable.register
+def _(source: Stream) -> bool:
+    return False
+
+
 @functools.singledispatch
 def close(source: Body) -> None:
     """Discards the unread rest of a body."""
@@ -128,19 +162,50 @@
     source.add_done_callback(callback)
 
 
-def stream_if_large(buffered: bytes) -> Body:
-    """Returns a buffered body as it is sent to another daemon."""
-    return (
-        buffered
-        if len(buffered) <= MAX_FRAMED_BYTES
-        else BufferedStream(buffered)
-    )
+@functools.singledispatch
+def stream_if_large(source: Body) -> Body:
+    """Returns a body as it is sent to another daemon."""
+    return source
+
+
+@stream_if_large.register
+def _(source: bytes) -> Body:
+    return source if len(source) <= MAX_FRAMED_BYTES else BufferedStream(source)
+
 
+class BodyBuffer:
+    """Collects the pieces of one body and returns it without a copy."""
 
+    def __init__(self) -> None:
+        self._buffer = io.BytesIO()
+
+    def write(self, piece: bytes) -> None:
+        """Appends a piece."""
+        self._buffer.write(piece)
+
+    def take(self) -> bytes:
+        """Returns the pieces written so far, and empties the buffer."""
+        content = self._buffer.getvalue()
+        self._buffer = io.BytesIO()
+        return content
+
+
+@functools.singledispatch
 def read_all(source: Body) -> bytes:
     """Reads a body to its end and returns it.
 
     Raises:
         errors.BodyError: The body was cut short or corrupted.
     """
-    return b"".join(pieces(source))
+    return source
+
+
+@read_all.register
+def _(source: Stream) -> bytes:
+    buffered = BodyBuffer()
+    try:
+        for piece in pieces(source):
+            buffered.write(piece)
+    finally:
+        source.close()
+    return buffered.take()
--- a/primrosecross/domain/requests/dispatcher.py
+++ b/primrosecross/domain/requests/dispatcher.py
@@ -10,6 +10,7 @@
 from primrosecross.domain.membership import fleet_state
 from primrosecross.domain.ownership import key_map as key_map_module
 from primrosecross.domain.requests import body as body_module
+from primrosecross.domain.requests import body_memory
 from primrosecross.domain.requests import forwards
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import replies
@@ -113,6 +114,7 @@
         gate: Gate of the local target.
         peers: Other daemons.
         clock: Clock that includes time spent suspended.
+        bodies: Memory for the bodies of answers.
     """
 
     def __init__(
@@ -124,7 +126,9 @@
         gate: target_gate.TargetGate,
         peers: peers_port.Peers,
         clock: clock_port.Clock,
+        bodies: body_memory.BodyMemory,
     ) -> None:
+        self._bodies = bodies
         self._vm = vm
         self._state = state
         self._gate = gate
@@ -273,6 +277,7 @@
                 result = self._gate.run(req)
             else:
                 result = self._forward(vm, req, may_repeat=may_repeat)
+            result = self._read_body(result, req)
             return result
         finally:
             duration_ms = (self._clock.now_ns() - started_ns) / NS_PER_MS
@@ -316,7 +321,32 @@
                 else outcome.Reason.ANSWER_LOST,
                 str(error),
             )
-        return _read_body(replies.outcome_of(reply, req.request_id))
+        return replies.outcome_of(reply, req.request_id)
+
+    def _read_body(
+        self, result: outcome.Outcome, req: request.Request
+    ) -> outcome.Outcome:
+        """Returns the outcome with its body, if any, read to the end."""
+        content = outcome.body_of(result)
+        if body_module.is_repeatable(content):
+            return result
+        size_bytes = len(content)
+        if not self._bodies.await_answer(
+            size_bytes, timeout_s=self._remaining_ms(req) / 1000
+        ):
+            body_module.close(content)
+            return outcome.Unknown(
+                outcome.Reason.ANSWER_LOST,
+                f"no memory for an answer of {size_bytes} bytes",
+            )
+        try:
+            return dataclasses.replace(
+                result, body=body_module.read_all(content)
+            )
+        except errors.BodyError as error:
+            return outcome.Unknown(outcome.Reason.ANSWER_LOST, str(error))
+        finally:
+            self._bodies.give_back(size_bytes)
 
     def _next_step(
         self,
@@ -408,17 +438,6 @@
     )
 
 
-def _read_body(result: outcome.Outcome) -> outcome.Outcome:
-    """Returns the outcome with its body, if any, read to the end."""
-    if not isinstance(result, outcome.Answered):
-        return result
-    try:
-        content = body_module.read_all(result.body)
-    except errors.BodyError as error:
-        return outcome.Unknown(outcome.Reason.ANSWER_LOST, str(error))
-    return dataclasses.replace(result, body=content)
-
-
 def _final_outcome(
     result: outcome.Outcome, history: _AttemptHistory
 ) -> outcome.Outcome:
--- a/primrosecross/domain/requests/request_identity.py
+++ b/primrosecross/domain/requests/request_identity.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from primrosecross.domain.requests import body as body_module
 from primrosecross.domain.requests import request
 
 
@@ -27,7 +28,8 @@
     """Returns a digest of a request's content.
 
     Requests with the same service, key, method, path and body have the same
-    digest, whoever sent them. Of a streamed body only the length is included.
+    digest, whoever sent them. Only the length of a long body is included, as
+    other daemons get it as a stream.
     """
     digest = xxhash.xxh3_128()
     for field in (req.service, req.key, req.method, req.path):
@@ -45,4 +47,6 @@
 
 @_body_bytes.register
 def _(body: bytes) -> bytes:
+    if len(body) > body_module.MAX_FRAMED_BYTES:
+        return len(body).to_bytes(8, "big")
     return body
--- a/primrosecross/domain/requests/target_gate.py
+++ b/primrosecross/domain/requests/target_gate.py
@@ -11,6 +11,7 @@
 from primrosecross.domain.ownership import local_target as local_target_module
 from primrosecross.domain.ownership import target_heartbeat
 from primrosecross.domain.ownership import target_watch
+from primrosecross.domain.requests import body
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import quarantine as quarantine_module
 from primrosecross.domain.requests import request
@@ -116,10 +117,15 @@
         slot = self.queue.acquire(req)
         if isinstance(slot, outcome.NotRun):
             return slot
+        result = None
         try:
-            return self._run_in_slot(req, slot)
+            result = self._run_in_slot(req, slot)
+            return result
         finally:
-            self.queue.release(slot)
+            # The target is busy until a streamed answer has been read.
+            body.add_done_callback(
+                outcome.body_of(result), lambda: self.queue.release(slot)
+            )
 
     def _check(self, req: request.Request) -> outcome.NotRun | None:
         """Refuses requests that the local target cannot run."""
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -27,6 +27,7 @@
 from primrosecross.domain.membership import membership
 from primrosecross.domain.operators import events
 from primrosecross.domain.operators import meter as meter_module
+from primrosecross.domain.requests import body_memory
 from primrosecross.models import addresses
 from primrosecross.platform import heartbeat_http
 from primrosecross.platform import ingress as ingress_module
@@ -37,8 +38,6 @@
 from primrosecross.platform import targets
 
 CLUSTER = "platform"
-BODY_BUFFER_MEMORY_DIVISOR = 6  # 1/6 of the memory may hold request bodies
-DEFAULT_MAX_BUFFERED_BYTES = 32 << 20
 READY_PATH = "/api/readyz"
 METRICS_PATH = "/metrics"
 
@@ -91,9 +90,8 @@
             stamps=stamps,
             record=timeline.record,
         )
-        self._targets = targets.PlatformTargets(
-            clock=clock, memory_bytes=settings.memory_bytes
-        )
+        bodies = body_memory.of_process(clock, settings.memory_bytes)
+        self._targets = targets.PlatformTargets(clock=clock, bodies=bodies)
         self._key_calls = key_calls_http.HttpKeyCalls(
             address=settings.target_address, dialect=key_calls.DIALECT
         )
@@ -109,6 +107,7 @@
             ),
             timeline=timeline,
             limits=_node_limits(settings),
+            bodies=bodies,
         )
         self._peers.handler = self._node.handle
         self._metrics = fleet_metrics.FleetMetrics(
@@ -131,9 +130,6 @@
             dispatcher=self._node.dispatcher,
             clock=self._clock,
             meter=self._meter,
-            max_buffered_bytes=settings.memory_bytes
-            // BODY_BUFFER_MEMORY_DIVISOR
-            or DEFAULT_MAX_BUFFERED_BYTES,
         )
         heartbeat_handler = heartbeat_http.HeartbeatHandler(
             service=settings.service,
@@ -145,6 +141,7 @@
             handle=ingress.handle,
             limits=ingress.limits,
             may_overlap=ingress.may_overlap,
+            bodies=self._node.bodies,
         )
         self._control_server = http_connection.HttpServer(
             listen=addresses.parse(settings.heartbeat_address),
--- a/primrosecross/platform/ingress.py
+++ b/primrosecross/platform/ingress.py
@@ -39,7 +39,6 @@
         dispatcher: Runs requests.
         clock: Clock that deadlines refer to.
         meter: Counts requests by service and outcome.
-        max_buffered_bytes: Limit for the buffered bodies of all callers.
     """
 
     def __init__(
@@ -51,9 +50,7 @@
         dispatcher: dispatcher_module.Dispatcher,
         clock: clock_port.Clock,
         meter: meter_module.Meter,
-        max_buffered_bytes: int,
     ) -> None:
-        self._max_buffered_bytes = max_buffered_bytes
         self._service = service
         self._state = state
         self._lookup = lookup
@@ -66,16 +63,13 @@
         """Returns the limits in force for callers' requests."""
         plan = self._state.plan
         if plan is None:
-            return http_parser.ServerLimits(
-                max_buffered_bytes=self._max_buffered_bytes
-            )
+            return http_parser.ServerLimits()
         limits = plan.limits
         return http_parser.ServerLimits(
             max_head_bytes=limits.max_head_bytes,
             max_body_bytes=limits.max_body_bytes,
             head_timeout_ms=limits.head_timeout_ms,
             idle_timeout_ms=limits.idle_timeout_ms,
-            max_buffered_bytes=self._max_buffered_bytes,
         )
 
     def may_overlap(self, http_request: http_parser.HttpRequest) -> bool:
--- a/primrosecross/platform/targets.py
+++ b/primrosecross/platform/targets.py
@@ -8,6 +8,8 @@
 from primrosecross.adapters.http import http_response
 from primrosecross.adapters.http import request_echo
 from primrosecross.domain import errors
+from primrosecross.domain.requests import body
+from primrosecross.domain.requests import body_memory
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import request
 from primrosecross.platform import headers
@@ -30,14 +32,17 @@
 
     Args:
         clock: Clock that deadlines refer to.
-        memory_bytes: Memory limit of the process, 0 if not set.
+        bodies: Memory for bodies of responses.
     """
 
     def __init__(
-        self, *, clock: clock_port.Clock, memory_bytes: int = 0
+        self,
+        *,
+        clock: clock_port.Clock,
+        bodies: body_memory.BodyMemory | None = None,
     ) -> None:
         self._clock = clock
-        self._budget = http_response.BodyBudget.of_memory(memory_bytes)
+        self._bodies = bodies or body_memory.BodyMemory(clock=clock)
         self._clients: dict[str, http_client.HttpClient] = {}
         self._echo = request_echo.RequestEcho(headers.REQUEST_ID)
 
@@ -66,7 +71,7 @@
         client = self._clients.get(address)
         if client is None:
             client = http_client.HttpClient(
-                address=address, budget=self._budget
+                address=address, bodies=self._bodies
             )
             self._clients[address] = client
         return client
@@ -86,7 +91,8 @@
         try:
             response = client.exchange(
                 head=_encode_head(announcement, req, remaining_ms),
-                body=bytes(req.body),
+                body=req.body,
+                stream_above_bytes=body.MAX_FRAMED_BYTES,
                 timeout_s=remaining_ms / 1000,
                 max_idle_s=60.0 if req.idempotent else UNSAFE_MAX_IDLE_S,
                 matches_request=lambda r: self._echo.matches(r, req.request_id),
@@ -108,6 +114,8 @@
                 return outcome.Unknown(outcome.Reason.DEADLINE, error.problem)
             return _response_lost(error.problem)
         result = _to_outcome(response)
+        if not isinstance(result, outcome.Answered):
+            body.close(response.body)
         if isinstance(result, outcome.NotRun):
             self._echo.record_refusal(req.request_id)
         return result
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,12 +19,15 @@
 import gevent
 from gevent import event as gevent_event
 
+from primrosecross.adapters import boot_clock
 from primrosecross.adapters.http import http_client
 from primrosecross.adapters.http import http_connection
 from primrosecross.adapters.http import http_parser
 from primrosecross.domain import errors
+from primrosecross.domain.requests import body_memory
 from standins import worker_key_calls as key_calls
 
+MAX_BODIES_BYTES = 1 << 30
 HEARTBEAT_INTERVAL_S = 0.3
 RELEASE_INTERVAL_S = 0.1
 HEARTBEAT_TIMEOUT_S = 1.0
@@ -234,7 +237,11 @@
     )
     host, _, port = address.rpartition(":")
     server = http_connection.HttpServer(
-        listen=(host, int(port)), handle=worker.handle
+        listen=(host, int(port)),
+        handle=worker.handle,
+        bodies=body_memory.BodyMemory(
+            clock=boot_clock.BootClock(), max_bytes=MAX_BODIES_BYTES
+        ),
     )
     server.start()
     gevent.spawn(worker.send_heartbeats)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -10,6 +10,7 @@
 from primrosecross.domain.ownership import proof
 from primrosecross.domain.ownership import target_heartbeat
 from primrosecross.domain.ownership import target_watch
+from primrosecross.domain.requests import body_memory
 from primrosecross.domain.requests import dispatcher
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import quarantine
@@ -81,6 +82,7 @@
             gate=self.gate,
             peers=self.peers,
             clock=self.clock,
+            bodies=body_memory.BodyMemory(clock=self.clock),
         )
 
     def _update_entries(self, *entries: fleet_messages.VmEntry) -> None:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -17,6 +17,7 @@
 from primrosecross.domain import stamp
 from primrosecross.domain.operators import events
 from primrosecross.domain.requests import body
+from primrosecross.domain.requests import body_memory
 from primrosecross.domain.requests import outcome
 from primrosecross.domain.requests import request
 from primrosecross.platform import key_calls
@@ -120,10 +121,11 @@
 
     # Endless bodies on several connections added up.
     def test_endless_bodies_share_a_budget(self):
-        budget = http_response.BodyBudget(
-            max_bytes=8 * endless_fakes.MAX_BODY_BYTES
+        budget = body_memory.BodyMemory(
+            clock=boot_clock.BootClock(),
+            max_bytes=8 * endless_fakes.MAX_BODY_BYTES,
         )
-        client = http_client.HttpClient(address="127.0.0.1:1", budget=budget)
+        client = http_client.HttpClient(address="127.0.0.1:1", bodies=budget)
         unread_bytes = budget.max_bytes - 2 * endless_fakes.MAX_BODY_BYTES
         budget.used_bytes = unread_bytes  # by other connections
         sock = endless_fakes.ReadySocket(
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from primrosecross.adapters import boot_clock
 from primrosecross.adapters.http import announce_http
 from primrosecross.adapters.http import caller_body
 from primrosecross.adapters.http import caller_connection
@@ -17,6 +18,7 @@
 from primrosecross.domain import errors
 from primrosecross.domain import stream_messages
 from primrosecross.domain.requests import body
+from primrosecross.domain.requests import body_memory
 from tests import endless_fakes
 
 HELLO = stream_messages.Hello(2, "c", "vm", "i", "control")
@@ -46,7 +48,8 @@
 
     def make_parser(self) -> http_parser.RequestParser:
         return http_parser.RequestParser(
-            self.LIMITS, http_parser.BufferedBytes()
+            self.LIMITS,
+            body_memory.BodyMemory(clock=boot_clock.BootClock()),
         )
 
     # A header line was buffered without a limit, and a chunk extension held the
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -11,6 +11,7 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from primrosecross.adapters import boot_clock
 from primrosecross.adapters.http import caller_body
 from primrosecross.adapters.http import caller_connection
 from primrosecross.adapters.http import http_client
@@ -18,6 +19,7 @@
 from primrosecross.adapters.http import http_parser
 from primrosecross.adapters.http import http_server
 from primrosecross.domain import errors
+from primrosecross.domain.requests import body_memory
 
 _AMBIGUOUS_REQUESTS = {
     "two lengths": b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
@@ -74,7 +76,16 @@
     def setUp(self) -> None:
         self.handled: list[http_parser.HttpRequest] = []
         self.server = http_connection.HttpServer(
-            listen=("127.0.0.1", 0), handle=self._handle, limits=self._limits
+            listen=("127.0.0.1", 0),
+            handle=self._handle,
+            limits=self._limits,
+            bodies=body_memory.BodyMemory(
+                clock=boot_clock.BootClock(),
+                max_bytes=15_000,
+                max_request_bytes=15_000,
+                reserve_bytes=0,
+                small_bytes=0,
+            ),
         )
         self.server.start()
         self.addCleanup(self.server.stop)
@@ -87,7 +98,6 @@
             max_body_bytes=10_000,
             head_timeout_ms=200,
             idle_timeout_ms=400,
-            max_buffered_bytes=15_000,
         )
 
     def _handle(
--- a/tests/test_plan_freshness.py
+++ b/tests/test_plan_freshness.py
@@ -276,7 +276,6 @@
             dispatcher=None,
             clock=self.clock,
             meter=meter_module.Meter(timeline=timeline),
-            max_buffered_bytes=1 << 20,
         )
         self.state.update_plan(fleet_fakes.plan_document(1))
 
