Tell the memory of process and bodies in the log and in metrics

What operators saw: a process that had ended and requests that were lost, and no line that told whether its memory was at its limit.

Change: the periodic line has the resident memory now and at its highest, what bodies hold, their limit, and how many found no room; GET /metrics has the same as `resident_bytes`, `body_bytes` and `bodies_refused`.

--- a/primrosecross/adapters/fleet_metrics.py
+++ b/primrosecross/adapters/fleet_metrics.py
@@ -1,16 +1,19 @@
 """Counters and gauges of one daemon on a platform store."""
 
 import logging
+import math
 from collections.abc import Callable
 from collections.abc import Mapping
 
 import gevent
 
+from primrosecross.adapters import process_memory
 from primrosecross.adapters.peers import peer_streams
 from primrosecross.domain import fleet_node
 from primrosecross.domain.operators import meter as meter_module
 
 LOG_INTERVAL_S = 10.0
+BYTES_PER_MB = 1 << 20
 
 _logger = logging.getLogger(__name__)
 
@@ -67,6 +70,10 @@
                     "Bytes sent to other daemons.",
                     lambda: self._peers.traffic.sent_bytes,
                 ),
+                "bodies_refused": (
+                    "Bodies for which there was no memory.",
+                    lambda: node.bodies.refused,
+                ),
             },
             gauges={
                 "map_version": (
@@ -97,6 +104,14 @@
                     "Requests that wait for the target.",
                     lambda: node.gate.queue.waiting,
                 ),
+                "resident_bytes": (
+                    "Resident memory of this process.",
+                    _resident_bytes,
+                ),
+                "body_bytes": (
+                    "Memory held by bodies of requests and answers.",
+                    lambda: node.bodies.used_bytes,
+                ),
             },
         )
         return metrics_http.Metrics(collector).text()
@@ -109,7 +124,9 @@
                 "requests %s, store calls %s, running %d, waiting %d, "
                 "proof %.0f ms old, plan %d ms old, target connections %d, "
                 "key calls in doubt %d, peers %s, "
-                "event loop late by at most %d ms",
+                "event loop late by at most %d ms, "
+                "resident %.0f MB, at most %.0f MB, "
+                "bodies %.1f of %.0f MB, %d refused",
                 {"/".join(k): n for k, n in self._meter.counts().items()},
                 dict(self._store_calls()),
                 self._node.gate.queue.running,
@@ -120,4 +137,18 @@
                 self._node.grant_caller.in_doubt,
                 dict(self._peers.counts),
                 self._peers.lateness.take_worst_ms(),
+                _resident_bytes() / BYTES_PER_MB,
+                process_memory.peak_bytes() / BYTES_PER_MB,
+                self._node.bodies.used_bytes / BYTES_PER_MB,
+                self._node.bodies.max_bytes / BYTES_PER_MB,
+                self._node.bodies.refused,
             )
+
+
+def _resident_bytes() -> float:
+    """Returns the resident memory, not a number if the system hides it."""
+    try:
+        return process_memory.resident_bytes()
+    except OSError as error:
+        _logger.warning("cannot read the memory of this process: %s", error)
+        return math.nan
--- a/primrosecross/adapters/process_memory.py
+++ b/primrosecross/adapters/process_memory.py
@@ -4,11 +4,13 @@
 import logging
 import os
 import pathlib
+import resource
 
 MMAP_THRESHOLD_BYTES = 1 << 20
 _M_MMAP_THRESHOLD = -3
 _STATM = pathlib.Path("/proc/self/statm")
 _RESIDENT_FIELD = 1
+_BYTES_PER_KB = 1024
 
 _logger = logging.getLogger(__name__)
 
@@ -34,3 +36,9 @@
     """
     pages = int(_STATM.read_text().split()[_RESIDENT_FIELD])
     return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def peak_bytes() -> int:
+    """Returns the highest resident memory of this process so far."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_maxrss * _BYTES_PER_KB
