End a call that is cancelled before its task begins

A call whose Cancel is read together with it stayed in progress for good: its task was killed before it began, so its cleanup never ran. A planned stop waits for calls in progress, and their bodies are never closed.

Change: the cleanup also runs when the task ends without having begun.

--- a/primrosecross/adapters/peers/peer_inbound.py
+++ b/primrosecross/adapters/peers/peer_inbound.py
@@ -78,6 +78,8 @@
         )
         self._in_flight.inbound[frame.call] = inbound
         inbound.task = gevent.spawn(self._serve, frame, inbound, handler)
+        # A task that is cancelled before it begins runs no code of its own.
+        inbound.task.link(lambda _: self._finish(frame))
 
     def note_received(self, call: int) -> None:
         """Records that a call was received, also if it is refused."""
@@ -110,9 +112,13 @@
                     self._keep_reply(frame.call, answer)
             return answer
         finally:
-            self._in_flight.inbound.pop(frame.call, None)
-            self._in_flight.outgoing.pop((frame.call, True), None)
-            body.close(messages.body_of(frame.message))
+            self._finish(frame)
+
+    def _finish(self, frame: peer_codec.Frame) -> None:
+        """Forgets a call that has ended; does nothing the second time."""
+        self._in_flight.inbound.pop(frame.call, None)
+        self._in_flight.outgoing.pop((frame.call, True), None)
+        body.close(messages.body_of(frame.message))
 
     def _keep_reply(self, call: int, answer: messages.Message) -> None:
         self._sent_replies[call] = _SentReply(answer, time.monotonic())
