Ignore the deregistration of an earlier life of a target

A target that had started again under its ID got no requests any more, if a deregistration of its earlier life came late: the new life was marked as draining, which is never taken back.

Cause: a deregistration was matched by the ID alone; its start time (`born`) was not read.

Change: the start time is decoded; a deregistration of another incarnation is logged and ignored, one that cannot be read is refused, one without a start time counts as before.

--- a/primrosecross/domain/ownership/target_watch.py
+++ b/primrosecross/domain/ownership/target_watch.py
@@ -269,11 +269,25 @@
         )
         return target_heartbeat_module.HeartbeatAnswer(grants, hold_ms)
 
-    def start_draining(self, instance: str) -> None:
-        """Marks the target as draining, at its own request."""
+    def start_draining(self, instance: str, born_ms: int = 0) -> None:
+        """Marks the target as draining, at its own request.
+
+        Args:
+            instance: ID of the target that asks for it.
+            born_ms: Its start; 0 if it did not tell, which matches any.
+        """
         target = self.local_target
         if target is None or target.last_heartbeat.instance != instance:
             return
+        if born_ms and born_ms != target.last_heartbeat.born_ms:
+            _logger.info(
+                "ignored a deregistration of target %s@%d, the present one "
+                "is %s",
+                instance,
+                born_ms,
+                target.last_heartbeat.incarnation_id,
+            )
+            return
         if target.state is not _State.GONE:
             _logger.info(
                 "target %s is draining", target.last_heartbeat.incarnation_id
--- a/primrosecross/platform/heartbeat_http.py
+++ b/primrosecross/platform/heartbeat_http.py
@@ -13,9 +13,7 @@
 from primrosecross.adapters import documents
 from primrosecross.adapters.http import http_connection
 from primrosecross.adapters.http import http_parser
-from primrosecross.domain.ownership import (
-    target_heartbeat as target_heartbeat_module,
-)
+from primrosecross.domain.ownership import target_heartbeat
 from primrosecross.domain.ownership import target_watch
 from primrosecross.models import bounds
 
@@ -43,7 +41,7 @@
     service: str
     address: str
     slots: bounds.Slots
-    state: target_heartbeat_module.TargetState
+    state: target_heartbeat.TargetState
     sequence: bounds.Count
     cold_remaining_ms: bounds.SignedNumber = 0.0
     born: bounds.UnixMs = msgspec.field(name="born", default=0)
@@ -51,6 +49,10 @@
     freed: list[bounds.ReleasedRow] = msgspec.field(default_factory=list)
 
 
+class _Deregistration(msgspec.Struct):
+    born: bounds.UnixMs = 0  # 0 if it does not tell the target's start
+
+
 class _HeartbeatResponse(msgspec.Struct, rename="pascal", omit_defaults=True):
     holds: list[tuple[int, int, int, str]] | None = None
     hold_ms: int = 0
@@ -81,36 +83,37 @@
             _INSTANCES_PREFIX
         ):
             return http_connection.HttpReply(404)
-        if path.endswith(_DEREGISTER_SUFFIX):
-            self._watch.start_draining(
-                path[len(_INSTANCES_PREFIX) : -len(_DEREGISTER_SUFFIX)]
-            )
-            return _json_reply(_HeartbeatResponse())
-        if not path.endswith(_HEARTBEAT_SUFFIX):
-            return http_connection.HttpReply(404)
-        return self._handle_heartbeat(
-            path[len(_INSTANCES_PREFIX) : -len(_HEARTBEAT_SUFFIX)],
-            http_request.body,
-        )
+        for suffix, handle in (
+            (_HEARTBEAT_SUFFIX, self._handle_heartbeat),
+            (_DEREGISTER_SUFFIX, self._handle_deregistration),
+        ):
+            if path.endswith(suffix):
+                instance = path[len(_INSTANCES_PREFIX) : -len(suffix)]
+                try:
+                    return handle(instance, http_request.body)
+                except ValueError as error:
+                    _logger.warning("refused %.128s: %s", instance, error)
+                    return http_connection.HttpReply(400)
+        return http_connection.HttpReply(404)
+
+    def _handle_deregistration(
+        self, instance: str, body: bytes
+    ) -> http_connection.HttpReply:
+        deregistration = documents.decode_json(body or b"{}", _Deregistration)
+        self._watch.start_draining(instance, deregistration.born)
+        return _json_reply(_HeartbeatResponse())
 
     def _handle_heartbeat(
         self, instance: str, body: bytes
     ) -> http_connection.HttpReply:
         if not _INSTANCE.fullmatch(instance):
-            _logger.warning("invalid target ID %.128s", instance)
-            return http_connection.HttpReply(400)
-        try:
-            heartbeat = documents.decode_json(body, _Heartbeat)
-        except ValueError as error:
-            _logger.warning("malformed heartbeat of %s: %s", instance, error)
-            return http_connection.HttpReply(400)
+            raise ValueError("invalid target ID")
+        heartbeat = documents.decode_json(body, _Heartbeat)
         if not self._is_local_target(heartbeat):
-            _logger.warning(
-                "heartbeat of %s does not match the local target", instance
-            )
-            return http_connection.HttpReply(400)
+            raise ValueError("it does not match the local target")
+        astuple = msgspec.structs.astuple
         answer = self._watch.handle_heartbeat(
-            target_heartbeat_module.TargetHeartbeat(
+            target_heartbeat.TargetHeartbeat(
                 instance=instance,
                 born_ms=heartbeat.born,
                 sequence=heartbeat.sequence,
@@ -120,15 +123,11 @@
                 state=heartbeat.state,
                 warmup_remaining_ms=int(heartbeat.cold_remaining_ms),
                 held=tuple(
-                    target_heartbeat_module.HeldRange(
-                        *msgspec.structs.astuple(row)
-                    )
+                    target_heartbeat.HeldRange(*astuple(row))
                     for row in heartbeat.holds
                 ),
                 released=tuple(
-                    target_heartbeat_module.ReleasedRange(
-                        *msgspec.structs.astuple(row)
-                    )
+                    target_heartbeat.ReleasedRange(*astuple(row))
                     for row in heartbeat.freed
                 ),
             )
@@ -136,7 +135,7 @@
         return _to_reply(answer)
 
     def _is_local_target(self, heartbeat: _Heartbeat) -> bool:
-        target_state = target_heartbeat_module.TargetState
+        target_state = target_heartbeat.TargetState
         return (
             heartbeat.service == self._service
             and heartbeat.address == self._address
@@ -145,7 +144,7 @@
 
 
 def _to_reply(
-    answer: target_heartbeat_module.HeartbeatAnswer,
+    answer: target_heartbeat.HeartbeatAnswer,
 ) -> http_connection.HttpReply:
     """Returns the response; ranges beyond its size limit are left out."""
     if answer.grants is None:
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -230,6 +230,15 @@
             self.watch.local_target.state, target_heartbeat.TargetState.DRAINING
         )
 
+    def test_a_deregistration_of_an_earlier_incarnation_is_ignored(self):
+        self.watch.handle_heartbeat(fleet_fakes.heartbeat(born_ms=2000))
+        for born_ms, state in (
+            (1000, target_heartbeat.TargetState.READY),
+            (2000, target_heartbeat.TargetState.DRAINING),
+        ):
+            self.watch.start_draining("i-1", born_ms)
+            self.assertEqual(self.watch.local_target.state, state)
+
 
 class EarlierProcessTest(unittest.TestCase):
     """A new process whose predecessor may have granted keys."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -116,6 +116,32 @@
         self.assertEqual(self.send(json.dumps(self.document()).encode()), 200)
         self.assertTrue(self.watch.holds(99))
 
+    def deregister(self, body: bytes) -> str:
+        """Returns the status of the reply and the target's state."""
+        reply = self.handler.handle(
+            http_parser.HttpRequest(
+                "POST", "/api/instances/i-1/deregister", [], body
+            )
+        )
+        return f"{reply.status} {self.watch.local_target.state}"
+
+    # The target of a new incarnation under the same ID was drained for good.
+    def test_only_a_deregistration_of_this_incarnation_drains(self):
+        self.assertEqual(self.send(json.dumps(self.document()).encode()), 200)
+        self.assertEqual(self.deregister(b'{"born":999}'), "200 ready")
+        with self.assertLogs(heartbeat_http.__name__, "WARNING"):
+            for odd in (b'{"born":"1000"}', b'{"born":-1}', b"[]", b"{", DEEP):
+                body = odd if isinstance(odd, bytes) else odd.encode()
+                self.assertEqual(self.deregister(body), "400 ready")
+        self.assertEqual(self.deregister(b'{"born":1000}'), "200 draining")
+
+    def test_a_deregistration_that_names_no_incarnation_drains(self):
+        for body in (b"", b"{}"):
+            self.setUp()
+            document = json.dumps(self.document()).encode()
+            self.assertEqual(self.send(document), 200)
+            self.assertEqual(self.deregister(body), "200 draining")
+
     # The handler fails with RecursionError and the target gets 502.
     def test_deep_nesting_is_refused(self):
         self.assert_refused(with_member(self.document(), "Odd", DEEP))
