Remember a deregistration that comes before the first heartbeat

A target that deregistered at a daemon which had just been restarted went on to get requests as if it stayed: the daemon confirmed the message and forgot it, as it knew no target yet.

Change: a deregistration of an incarnation that is not the present one is kept, and counts once that incarnation sends its first heartbeat here.

Evidence: the new test of test_key_lease failed before and passes now.

--- a/primrosecross/domain/ownership/target_watch.py
+++ b/primrosecross/domain/ownership/target_watch.py
@@ -70,6 +70,8 @@
         self._earlier_doubts_expiry_ns = (
             clock.now_ns() + grant_ledger.longest_ns(MAX_CALL_HOLD_MS)
         )
+        # A deregistration that no heartbeat of its sender came before.
+        self._early_deregistration = ("", 0)
         self._own_ranges: own_ranges.OwnRanges | None = None
         self.local_target: local_target_module.LocalTarget | None = None
         # Keys that requests wait for, with the number of these requests.
@@ -237,6 +239,11 @@
                 self.local_target.last_heartbeat_ns - ASSUMED_DRAIN_AGE_NS
             )
         self._first_refusal_ns = 0
+        if self._early_deregistration == (
+            heartbeat.instance,
+            heartbeat.born_ms,
+        ):
+            self.start_draining(heartbeat.instance, heartbeat.born_ms)
         self.on_new_incarnation()
         self._on_change()
         return self.local_target
@@ -277,16 +284,16 @@
             born_ms: Its start; 0 if it did not tell, which matches any.
         """
         target = self.local_target
-        if target is None or target.last_heartbeat.instance != instance:
-            return
-        if born_ms and born_ms != target.last_heartbeat.born_ms:
+        if target is None or (
+            target.last_heartbeat.instance != instance
+            or born_ms not in (0, target.last_heartbeat.born_ms)
+        ):
             _logger.info(
-                "ignored a deregistration of target %s@%d, the present one "
-                "is %s",
+                "deregistration of target %s@%d, which is not the present one",
                 instance,
                 born_ms,
-                target.last_heartbeat.incarnation_id,
             )
+            self._early_deregistration = (instance, born_ms)
             return
         if target.state is not _State.GONE:
             _logger.info(
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -239,6 +239,22 @@
             self.watch.start_draining("i-1", born_ms)
             self.assertEqual(self.watch.local_target.state, state)
 
+    def test_a_deregistration_before_the_first_heartbeat_counts(self):
+        self.watch.start_draining("i-1", 1000)
+        self.watch.handle_heartbeat(fleet_fakes.heartbeat(1, born_ms=500))
+        self.assertEqual(
+            self.watch.local_target.state, target_heartbeat.TargetState.READY
+        )
+        self.watch.handle_heartbeat(fleet_fakes.heartbeat(1, born_ms=1000))
+        self.assertEqual(
+            self.watch.local_target.state, target_heartbeat.TargetState.DRAINING
+        )
+        self.assertGreater(self.watch.local_target.draining_since_ns, 0)
+        self.watch.handle_heartbeat(fleet_fakes.heartbeat(1, born_ms=2000))
+        self.assertEqual(
+            self.watch.local_target.state, target_heartbeat.TargetState.READY
+        )
+
 
 class EarlierProcessTest(unittest.TestCase):
     """A new process whose predecessor may have granted keys."""
