Restart all daemons in the key model, at once or in turn

Not a fault: the model killed one daemon at a time. The runs with late heartbeats now also kill all of them, at once or 1.5 s apart.

--- a/tests/key_model.py
+++ b/tests/key_model.py
@@ -2,10 +2,12 @@
 
 Daemons, targets, competing coordinators and a store run on one clock in steps
 of STEP_MS. Faults: delayed messages, daemons killed, frozen or partitioned,
-targets crashed, the store down, heartbeats held up across a restart.
+targets crashed, the store down, all daemons restarted, heartbeats held up
+across a restart.
 """
 
 import dataclasses
+import functools
 import random
 
 from primrosecross.domain.membership import fleet_messages
@@ -318,7 +320,10 @@
             self._cut_off_peers,
             self._stop_store,
             self._partition_coordinator,
-        ) + LATE_HEARTBEAT_WEIGHT * late_heartbeats * (self._hold_up_heartbeat,)
+        )
+        if late_heartbeats:
+            self._faults += (self._hold_up_heartbeat,) * LATE_HEARTBEAT_WEIGHT
+            self._faults += (self._kill_all_daemons,)
 
     def wait_ms(self) -> int:
         """Returns how long a revocation waits."""
@@ -383,6 +388,17 @@
             daemon.up = False
             self.schedule(500, 4000, daemon.start_process)
 
+    def _kill_all_daemons(self, vm: str) -> None:
+        """Kills all daemons at once, or one after the other from vm on."""
+        names = list(self.daemons)
+        start = names.index(vm)
+        gap_ms = self.random.choice((0, 1500))
+        for position, name in enumerate(names[start:] + names[:start]):
+            delay_ms = gap_ms * position
+            self.schedule(
+                delay_ms, delay_ms, functools.partial(self._kill_daemon, name)
+            )
+
     def _hold_up_heartbeat(self, vm: str) -> None:
         """Holds up a heartbeat of a target until its daemon was restarted.
 
--- a/tests/test_key_model.py
+++ b/tests/test_key_model.py
@@ -138,7 +138,7 @@
 
 
 class LateHeartbeatsModelTest(unittest.TestCase):
-    """Random runs in which heartbeats arrive late at a restarted daemon."""
+    """Random runs with late heartbeats and restarts, one or all at once."""
 
     def _find_violation(self, seeds: range) -> str:
         runs = (
