--- a/soak/process_ends.py
+++ b/soak/process_ends.py
@@ -1,13 +1,35 @@
 """Ends of processes that a scenario did not cause."""
 
 import collections
+import pathlib
+import re
+import signal
 import subprocess
+import time
 
 import gevent
 
 from standins import sidecars
 
 POLL_INTERVAL_S = 0.1
+HELD_TIMEOUT_S = 5.0
+HELD_POLL_INTERVAL_S = 0.002
+_SIGNAL_MASKS = re.compile(r"^Sig(?:Blk|Cgt):\s*([0-9a-f]+)$", re.MULTILINE)
+
+
+def await_program(process: subprocess.Popen) -> None:
+    """Waits until a daemon holds or handles signals, or has ended.
+
+    The program cannot before its first statement: the interpreter starts with
+    the default actions (KNOWN-RED.txt, tests.test_interpreter_start).
+    """
+    status_file = pathlib.Path(f"/proc/{process.pid}/status")
+    until_s = time.monotonic() + HELD_TIMEOUT_S
+    while process.poll() is None and time.monotonic() < until_s:
+        masks = _SIGNAL_MASKS.findall(status_file.read_text())
+        if any(int(m, 16) >> (signal.SIGHUP - 1) & 1 for m in masks):
+            return
+        gevent.sleep(HELD_POLL_INTERVAL_S)
 
 
 class ProcessEnds:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -158,6 +158,7 @@
             sidecars.Sidecars, "start_daemon", lambda _, vm: started.append(vm)
         )
         self._patch(scenario, "STOP_LIMIT_S", 0.2)
+        self._patch(process_ends, "await_program", lambda _: None)
         self._patch(
             self.scenario,
             "_random",
