Give room and slots back when a caller leaves

Cause: a handler that ended just as its caller left gave its body's room back a second time and charged a reply that nobody sends. A request killed while its answer waited for room kept the slot of the target, as nobody closed the stream.

Change: a connection that has ended counts nothing more; the answer's stream is closed on each way out.

Evidence: `test_reply_after_a_disconnect_takes_no_room` and `test_caller_who_leaves_frees_the_slot_of_an_answer_without_room` failed before and pass now.

--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -267,6 +267,8 @@
         except Exception as error:
             _logger.exception("the request handler raised %r", error)
             reply = HttpReply(502, [], b"", close=True)
+        if exchange not in self._started:  # The connection has ended.
+            return
         self._parser.release(len(exchange.request.body))
         exchange.request = dataclasses.replace(exchange.request, body=b"")
         self._server.bodies.charge(len(reply.body))
--- a/primrosecross/domain/requests/dispatcher.py
+++ b/primrosecross/domain/requests/dispatcher.py
@@ -331,22 +331,23 @@
         if body_module.is_repeatable(content):
             return result
         size_bytes = len(content)
-        if not self._bodies.await_answer(
-            size_bytes, timeout_s=self._remaining_ms(req) / 1000
-        ):
-            body_module.close(content)
-            return outcome.Unknown(
-                outcome.Reason.ANSWER_LOST,
-                f"no memory for an answer of {size_bytes} bytes",
-            )
+        timeout_s = self._remaining_ms(req) / 1000
         try:
-            return dataclasses.replace(
-                result, body=body_module.read_all(content)
-            )
+            if not self._bodies.await_answer(size_bytes, timeout_s=timeout_s):
+                return outcome.Unknown(
+                    outcome.Reason.ANSWER_LOST,
+                    f"no memory for an answer of {size_bytes} bytes",
+                )
+            try:
+                return dataclasses.replace(
+                    result, body=body_module.read_all(content)
+                )
+            finally:
+                self._bodies.give_back(size_bytes)
         except errors.BodyError as error:
             return outcome.Unknown(outcome.Reason.ANSWER_LOST, str(error))
         finally:
-            self._bodies.give_back(size_bytes)
+            body_module.close(content)
 
     def _next_step(
         self,
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -15,6 +15,7 @@
 from primrosecross.adapters.http import http_parser
 from primrosecross.domain import fleet_node
 from primrosecross.domain import stamp
+from primrosecross.domain.membership import fleet_messages
 from primrosecross.domain.membership import membership
 from primrosecross.domain.operators import events
 from primrosecross.domain.operators import meter
@@ -141,6 +142,43 @@
         self.assertEqual(self.node.gate.queue.running, 0)
 
 
+class LongAnswerTest(unittest.TestCase):
+    """Answers that the daemon of their caller buffers."""
+
+    def setUp(self) -> None:
+        clock = fleet_fakes.GeventClock()
+        self.targets = fleet_fakes.Targets()
+        self.targets.answer = lambda req: outcome.Answered(
+            200, (), test_transport_bodies.ZeroStream(UPLOAD_BYTES)
+        )
+        self.node = make_node(clock, self.targets)
+        self.memory = self.node.bodies
+        entry = fleet_messages.VmEntry(
+            "a", "z", "a:1", "desk", 2, "ready", False
+        )
+        self.node.state.update_entries((entry,), replace_all=True)
+
+    def run_request(self) -> outcome.Outcome:
+        return self.node.dispatcher.run(
+            fleet_fakes.make_request(idempotent=False), max_run_attempts=1
+        )
+
+    def test_long_answer_is_read_whole_and_gives_its_room_back(self):
+        result = self.run_request()
+        self.assertEqual(len(result.body), UPLOAD_BYTES)
+        self.assertEqual(self.memory.used_bytes, 0)
+        self.assertEqual(self.node.gate.queue.running, 0)
+
+    def test_caller_who_leaves_frees_the_slot_of_an_answer_without_room(self):
+        self.memory.charge(self.memory.max_bytes)
+        task = gevent.spawn(self.run_request)
+        gevent.sleep(0.05)
+        self.assertEqual(self.node.gate.queue.running, 1)
+        task.kill()
+        self.assertEqual(self.node.gate.queue.running, 0)
+        self.assertEqual(self.memory.used_bytes, self.memory.max_bytes)
+
+
 class BodyMemoryTest(unittest.TestCase):
     """Decisions about room for bodies."""
 
@@ -286,6 +324,26 @@
                 gevent.sleep(0.4)
                 self.assertEqual(self.memory.used_bytes, held_bytes)
 
+    def test_reply_after_a_disconnect_takes_no_room(self):
+        finished = []
+
+        def handle(request: http_parser.HttpRequest):
+            try:
+                gevent.sleep(5)
+            except gevent.GreenletExit:
+                finished.append(request)
+            return http_connection.HttpReply(200, [], bytes(1 << 20))
+
+        self.handle = handle
+        sock = self.connect()
+        sock.sendall(self.post(5) + b"small")
+        gevent.sleep(0.05)
+        self.assertEqual(self.memory.used_bytes, 5)
+        sock.close()
+        gevent.sleep(0.05)
+        self.assertEqual(len(finished), 1)
+        self.assertEqual(self.memory.used_bytes, 0)
+
     # The body stayed until the next request on the connection.
     def test_body_is_released_once_its_request_is_answered(self):
         size = 4 << 20
