Stop a daemon that has no descriptor left without crashing

Cause: a stop accepts the backlog before it closes the port, and the error of accept (too many open files) ended the process.

Change: the error is logged, and the stop goes on. A start raises the limit of open files to what the system grants the process.

--- a/primrosecross/adapters/process_start.py
+++ b/primrosecross/adapters/process_start.py
@@ -4,7 +4,9 @@
 a process at any moment of its start.
 """
 
+import contextlib
 import os
+import resource
 import signal
 
 HELD_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
@@ -12,9 +14,10 @@
 
 
 def prepare() -> None:
-    """Holds signals, and opens the standard streams that are closed."""
+    """Holds signals, opens closed standard streams, allows descriptors."""
     hold_signals()
     open_standard_streams()
+    raise_descriptor_limit()
 
 
 def hold_signals() -> None:
@@ -39,3 +42,11 @@
         except OSError:
             # The lowest descriptor that is free is this one.
             os.open(os.devnull, os.O_RDWR)
+
+
+def raise_descriptor_limit() -> None:
+    """Raises the limit of open files to what the system grants the process."""
+    _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+    # A system that refuses leaves the lower limit, which is no error.
+    with contextlib.suppress(OSError, ValueError):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
--- a/primrosecross/adapters/sockets.py
+++ b/primrosecross/adapters/sockets.py
@@ -1,6 +1,7 @@
 """State of a socket, and reads that leave time to other tasks."""
 
 import fcntl
+import logging
 import socket
 import struct
 import termios
@@ -11,6 +12,8 @@
 
 YIELD_BYTES = 256 * 1024
 
+_logger = logging.getLogger(__name__)
+
 
 def connect(
     address: tuple[str, int], *, timeout_s: float
@@ -94,8 +97,11 @@
     if not server.started:
         return
     server.stop_accepting()
-    while not server.full() and (accepted := server.do_read()):
-        server.do_handle(*accepted)
+    try:
+        while not server.full() and (accepted := server.do_read()):
+            server.do_handle(*accepted)
+    except OSError as error:  # such as too many open files
+        _logger.error("cannot accept the rest of the backlog: %s", error)
     server.close()
 
 
