Let no two daemons of one VM join the fleet

Seen (trial, two VMs): a daemon started while its predecessor ran on the second port of the range took the first one and joined as the same VM. Its address went back and forth, and 64 of 123 requests got 502.

Cause: a free peer port was taken for the proof that no predecessor runs.

Change: a process listens for callers, whose port has one address only, before it listens for other daemons and joins. IPv6 addresses can be bound.

test_process_start sends its signals once the process holds them, as the start of the interpreter takes long on a busy machine.

--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -64,10 +64,10 @@
 
 
 class HttpServer:
-    """Serves HTTP on one address.
+    """Serves HTTP on one address, or on a socket that listens already.
 
     Args:
-        listen: Address, as (ip, port).
+        listen: Address, as (ip, port), or a socket that listens.
         handle: Handles one request; its task is killed when the caller
             disconnects.
         limits: Returns the current limits.
@@ -79,7 +79,7 @@
     def __init__(
         self,
         *,
-        listen: tuple[str, int],
+        listen: tuple[str, int] | gevent_socket.socket,
         handle: Handler,
         limits: Callable[
             [], http_parser.ServerLimits
@@ -93,7 +93,9 @@
         self.limits = limits
         self.may_overlap = may_overlap
         self._server = gevent_server.StreamServer(
-            listen, self._serve, backlog=BACKLOG
+            listen,
+            self._serve,
+            backlog=BACKLOG if isinstance(listen, tuple) else None,
         )
         self.bodies = bodies or body_memory.BodyMemory(
             clock=boot_clock.BootClock()
@@ -110,23 +112,14 @@
         """Port that the server listens on."""
         return self._server.server_port
 
-    @property
-    def is_listening(self) -> bool:
-        """Whether callers can connect."""
-        return self._server.started
-
     @property
     def unfinished(self) -> int:
         """Number of requests and connections that an exit would cut off."""
         return self.in_flight + self.receiving + self.lingering
 
     def start(self) -> None:
-        """Starts listening; raises OSError if the port is in use.
-
-        Does nothing once the server was told to stop.
-        """
-        if not self.stopped_reading:
-            self._server.start()
+        """Starts listening; raises OSError if the port is in use."""
+        self._server.start()
 
     def stop(self) -> None:
         """Stops listening."""
--- a/primrosecross/adapters/listeners.py
+++ b/primrosecross/adapters/listeners.py
@@ -52,43 +52,54 @@
 
 
 def bind_first(
-    host: str, ports: Iterable[int], *, stopping: gevent_event.Event
+    addresses: Iterable[tuple[str, int]],
+    *,
+    purpose: str,
+    stopping: gevent_event.Event,
+    predecessor_limit_s: float = math.inf,
 ) -> gevent_socket.socket | None:
-    """Listens for other daemons on the first of several ports that is free.
+    """Listens on the first of several addresses that is free.
 
-    A port on which somebody listens belongs to a predecessor that has not
-    ended: this waits for it. One used by an outgoing connection may stay so.
+    An address on which somebody listens may belong to a predecessor that has
+    not ended; one that an outgoing connection uses may stay so.
 
     Args:
-        host: IP address of this VM.
-        ports: Ports in order of preference.
+        addresses: IP address and port, in order of preference.
+        purpose: Who connects, for the log.
         stopping: Set when the process is to end.
+        predecessor_limit_s: Time for which a predecessor is waited for rather
+            than the next address taken.
 
     Returns:
         The listening socket; None if the process is to end.
     """
-    ports = list(ports)
+    addresses = list(addresses)
+    started_s = time.monotonic()
     while not stopping.is_set():
-        for port in ports:
+        waits_for_predecessor = (
+            time.monotonic() - started_s < predecessor_limit_s
+        )
+        for address in addresses:
             try:
-                return _listen(host, port)
+                return _listen(address)
             except OSError as error:
                 _logger.warning(
-                    "cannot listen for other daemons on port %d yet: %s",
-                    port,
+                    "cannot listen for %s on %s:%d yet: %s",
+                    purpose,
+                    *address,
                     error,
                 )
-            if _is_listening(host, port):
+            if waits_for_predecessor and _is_listening(address):
                 break
         stopping.wait(RETRY_INTERVAL_S)
     return None
 
 
-def _listen(host: str, port: int) -> gevent_socket.socket:
-    sock = gevent_socket.socket()
+def _listen(address: tuple[str, int]) -> gevent_socket.socket:
+    sock = gevent_socket.socket(sockets.family_of(address[0]))
     try:
         sock.setsockopt(gevent_socket.SOL_SOCKET, gevent_socket.SO_REUSEADDR, 1)
-        sock.bind((host, port))
+        sock.bind(address)
         sock.listen(BACKLOG)
     except OSError:
         sock.close()
@@ -96,12 +107,12 @@
     return sock
 
 
-def _is_listening(host: str, port: int) -> bool:
+def _is_listening(address: tuple[str, int]) -> bool:
     try:
-        sockets.connect((host, port), timeout_s=PROBE_TIMEOUT_S).close()
+        sockets.connect(address, timeout_s=PROBE_TIMEOUT_S).close()
     except ConnectionRefusedError:
         return False
     except OSError as error:
-        _logger.info("cannot tell who uses port %d: %s", port, error)
+        _logger.info("cannot tell who uses %s:%d: %s", *address, error)
         return False
     return True
--- a/primrosecross/adapters/sockets.py
+++ b/primrosecross/adapters/sockets.py
@@ -20,9 +20,6 @@
 ) -> gevent_socket.socket:
     """Connects to an IP address by TCP.
 
-    The system may choose a local port that another process is about to listen
-    on. With SO_REUSEADDR, that process still can.
-
     Args:
         address: IP address and port; a name would need a resolver's thread.
         timeout_s: Maximum time to wait; the socket keeps it as its timeout.
@@ -30,11 +27,9 @@
     Raises:
         OSError: No connection was made in time.
     """
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = gevent_socket.socket(family, socket.SOCK_STREAM)
+    sock = gevent_socket.socket(family_of(address[0]), socket.SOCK_STREAM)
     try:
         sock.settimeout(timeout_s)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.connect(address)
     except BaseException:
         sock.close()
@@ -42,6 +37,11 @@
     return sock
 
 
+def family_of(ip: str) -> socket.AddressFamily:
+    """Returns the address family of an IP address."""
+    return socket.AF_INET6 if ":" in ip else socket.AF_INET
+
+
 def peek(sock: gevent_socket.socket) -> bytes | None:
     """Returns the next unread byte without consuming it.
 
--- a/primrosecross/platform/daemon.py
+++ b/primrosecross/platform/daemon.py
@@ -49,14 +49,14 @@
     Args:
         settings: Settings of the daemon.
         path: Settings file, which is polled for changes.
-        peer_listener: Socket that listens for other daemons.
+        bound: Sockets that listen already.
     """
 
     def __init__(
         self,
         settings: settings_module.PlatformSettings,
         path: pathlib.Path,
-        peer_listener: gevent_socket.socket,
+        bound: fleet_process.Listeners,
     ) -> None:
         self._settings = settings
         self._settings_watch = settings_watch.SettingsWatch(
@@ -70,7 +70,7 @@
             vm=settings.vm,
             place=settings.place,
             region="",
-            peer_address="{}:{}".format(*peer_listener.getsockname()),
+            peer_address="{}:{}".format(*bound.peers.getsockname()),
             incarnation=uuid.uuid4().hex[:16],
         )
         stamps = stamp.StampClock(clock=clock)
@@ -87,7 +87,7 @@
                 incarnation=identity.incarnation,
                 lane=stream_messages.Lane.CONTROL,
             ),
-            listen=peer_listener,
+            listen=bound.peers,
             stamps=stamps,
             record=timeline.record,
         )
@@ -120,9 +120,9 @@
                 self._targets.opened + self._key_calls.opened
             ),
         )
-        self._create_servers()
+        self._create_servers(bound.callers)
 
-    def _create_servers(self) -> None:
+    def _create_servers(self, caller_listener: gevent_socket.socket) -> None:
         settings = self._settings
         ingress = ingress_module.Ingress(
             service=settings.service,
@@ -138,7 +138,7 @@
             watch=self._node.local_target_watch,
         )
         self._caller_server = http_connection.HttpServer(
-            listen=addresses.parse(settings.caller_address),
+            listen=caller_listener,
             handle=ingress.handle,
             limits=ingress.limits,
             may_overlap=ingress.may_overlap,
@@ -156,21 +156,18 @@
             handle=ready_http.ReadyHandler(
                 ready_path=READY_PATH,
                 metrics_path=METRICS_PATH,
-                is_ready=self._is_ready,
+                is_ready=self._node.is_ready,
                 metrics_text=self._metrics.text,
             ).handle,
         )
 
-    def _is_ready(self) -> bool:
-        return self._caller_server.is_listening and self._node.is_ready()
-
     def start(self) -> None:
         """Starts all tasks, and each server once its port can be had."""
         self._peers.start()
+        self._caller_server.start()
         for server, purpose in (
             (self._ready_server, "readiness checks"),
             (self._control_server, "the target"),
-            (self._caller_server, "callers"),
         ):
             gevent.spawn(listeners.start, server.start, purpose=purpose)
         self._node.start()
@@ -222,7 +219,8 @@
         limits=json_log.FLEET_LIMITS,
     )
     fleet_process.run(
-        lambda listener: Daemon(settings, path, listener),
+        lambda bound: Daemon(settings, path, bound),
+        caller_address=settings.caller_address,
         peer_address=settings.peer_address,
         last_peer_address=settings.last_peer_address,
     )
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -5,6 +5,7 @@
 
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -18,7 +19,7 @@
 
 READY_TIMEOUT_S = 20.0
 RUNS_FOR_S = 1.0
-SIGNAL_DELAYS_S = (0.1, 0.15, 0.2, 0.3, 0.45)
+SIGNAL_DELAYS_S = (0.0, 0.05, 0.1, 0.2, 0.35)  # from the first statement on
 
 
 class StartTest(unittest.TestCase):
@@ -58,6 +59,7 @@
         for delay_s in SIGNAL_DELAYS_S:
             with self.subTest(delay_s=delay_s):
                 process = self._start()
+                await_first_statement(process)
                 time.sleep(delay_s)
                 process.send_signal(signal.SIGHUP)
                 self._assert_runs(process)
@@ -69,6 +71,7 @@
         for delay_s in SIGNAL_DELAYS_S:
             with self.subTest(delay_s=delay_s):
                 process = self._start()
+                await_first_statement(process)
                 time.sleep(delay_s)
                 process.terminate()
                 self.assertEqual(process.wait(READY_TIMEOUT_S), 0)
@@ -77,7 +80,7 @@
     def test_ports_of_outgoing_connections_are_waited_for(self):
         for endpoint in ("ready", "control", "outbound"):
             with self.subTest(endpoint=endpoint):
-                connection = _connect_from(self.vm.ports[endpoint])
+                connection = connect_from(self.vm.ports[endpoint])
                 process = self._start()
                 time.sleep(RUNS_FOR_S)
                 self.assertIsNone(process.poll(), self.fleet.log(self.vm))
@@ -100,14 +103,14 @@
 
     # A daemon whose peer port was taken could not be reached by others.
     def test_peer_port_in_use_is_replaced_by_another_of_the_range(self):
-        taken, free = _neighbours()
+        taken, free = choose_neighbors()
         self.addCleanup(ports.release, [taken, free])
         text = self.settings.read_text()
         peer = self.vm.ports["peer"]
         self.settings.write_text(
             text.replace(f"[{peer}, {peer}]", f"[{taken}, {free}]")
         )
-        connection = _connect_from(taken)
+        connection = connect_from(taken)
         self.addCleanup(connection.close)
         self.vm.ports["peer"] = free
         self._assert_runs(self._start())
@@ -153,6 +156,18 @@
         self.assertIn("set PRIMROSECROSS_NODE_FILE", self.fleet.log(self.vm))
 
 
+def await_first_statement(process: subprocess.Popen) -> None:
+    """Waits until a process holds signals; the interpreter itself does not."""
+    status = pathlib.Path(f"/proc/{process.pid}/status")
+    deadline_s = time.monotonic() + READY_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        blocked = re.search(r"^SigBlk:\s*(\w+)", status.read_text(), re.M)
+        if blocked and int(blocked[1], 16) & 1 << (signal.SIGHUP - 1):
+            return
+        time.sleep(0.001)
+    raise TimeoutError("the process holds no signals")
+
+
 def _listens(port: int) -> bool:
     try:
         socket.create_connection(("127.0.0.1", port), timeout=1).close()
@@ -161,12 +176,11 @@
     return True
 
 
-def _connect_from(port: int) -> socket.socket:
+def connect_from(port: int) -> socket.socket:
     """Returns a connection whose local port is the given one."""
     with socket.create_server(("127.0.0.1", 0)) as server:
         sock = socket.socket()
-        # The port is held by the test without SO_REUSEADDR on this socket,
-        # so the daemon cannot bind it before the connection is closed.
+        # The stand-ins hold the port by a socket with SO_REUSEADDR.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(("127.0.0.1", port))
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
@@ -174,7 +188,7 @@
         return sock
 
 
-def _neighbours() -> tuple[int, int]:
+def choose_neighbors() -> tuple[int, int]:
     """Returns two adjacent ports that are free."""
     while True:
         first, second = ports.choose_free(2)
