End a stop beside a caller that sends ahead without end

Seen: such a caller held a stop for its whole limit (5.6 of 6 s), and what ran at its end was cut off.

Cause: in a stop, a connection was closed only behind an answer after which nothing was unread, which never came.

Change: when the server stops reading, each connection notes what its caller has sent by then; later input is not read.

--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -100,6 +100,7 @@
         self.bodies = bodies or body_memory.BodyMemory(
             clock=boot_clock.BootClock()
         )
+        self._connections: set[_Connection] = set()
         self.idle: set[gevent_socket.socket] = set()
         self.stopped_reading = False
         self.in_flight = 0
@@ -132,6 +133,8 @@
         """
         self.stopped_reading = self.closing = True
         sockets.close_listener(self._server)
+        for connection in self._connections:
+            connection.note_stop()
         for sock in list(self.idle):
             if sockets.is_idle(sock):
                 sock.shutdown(socket.SHUT_RD)
@@ -139,11 +142,13 @@
     def _serve(self, sock: gevent_socket.socket, _: object) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = _Connection(self, sock)
+        self._connections.add(connection)
         try:
             connection.serve()
         except OSError as error:
             _logger.debug("a caller's connection failed: %s", error)
         finally:
+            self._connections.discard(connection)
             connection.abandon()
             sock.close()
 
@@ -184,6 +189,7 @@
         self._is_sending = False
         self._is_closing = False  # The last reply is being sent.
         self._is_closed = False
+        self._unread_at_stop_bytes = 0
 
     def serve(self) -> None:
         """Serves requests until the connection is to be closed."""
@@ -336,9 +342,22 @@
             or self._parser.rejected is not None
             or self._parser.in_body
             or (self._is_reading and not self._awaits_request)
-            or sockets.has_unread(self._sock)
+            or self._has_unread_input()
         )
 
+    def note_stop(self) -> None:
+        """Records what the caller has sent before the server stops reading.
+
+        A caller may send ahead without end; what comes later is not read.
+        """
+        self._unread_at_stop_bytes = sockets.unread_bytes(self._sock) or 0
+
+    def _has_unread_input(self) -> bool:
+        """Returns whether there is input that this connection still reads."""
+        if self._server.stopped_reading:
+            return self._unread_at_stop_bytes > 0
+        return sockets.has_unread(self._sock)
+
     def _close(self) -> None:
         self._is_closed = True
         self._progress.set()
@@ -357,7 +376,6 @@
         if (
             self._server.stopped_reading
             and self._has_started
-            and not self._started
             and not self._has_input()
         ):
             return None
@@ -395,6 +413,7 @@
         share = sockets.LoopShare()
         while data:
             parser.feed(data)
+            self._unread_at_stop_bytes -= len(data)
             share.record(len(data))
             if parser.complete_requests:
                 return parser.complete_requests.pop(0)
