Give back the memory of a rejected body before its connection lingers

The 8 MB that a caller had declared stayed taken for up to 10 s after its 408, while it went on sending, and others were refused for it.

Result: test_linger_memory fails on the code before; passes now.

--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -211,6 +211,7 @@
 
     def _linger(self) -> None:
         """Closes gracefully."""
+        self._parser.release_all()
         self._server.lingering += 1
         try:
             _linger(self._sock)
