Own daemon: hold signals and await settings at a start, too

SIGHUP 0.1 to 0.5 s after the start ended the product's own daemon by signal 1, four of four, and a settings file being written ended it with code 2.

Result: test_process_start_own, signals at 0 to 0.5 s and half a file: passes.

--- a/primrosecross/daemon.py
+++ b/primrosecross/daemon.py
@@ -1,5 +1,10 @@
 """Routing daemon that runs beside the target on each VM."""
 
+from primrosecross.adapters import process_start
+
+if __name__ == "__main__":
+    process_start.prepare()
+
 from gevent import monkey
 
 monkey.patch_all()
@@ -24,6 +29,7 @@
 from primrosecross.adapters import object_store  # noqa: E402
 from primrosecross.adapters import operator_access  # noqa: E402
 from primrosecross.adapters import operator_rpc  # noqa: E402
+from primrosecross.adapters import settings_watch  # noqa: E402
 from primrosecross.adapters.http import announce_http  # noqa: E402
 from primrosecross.adapters.http import caller_http  # noqa: E402
 from primrosecross.adapters.http import metrics_http  # noqa: E402
@@ -275,7 +281,10 @@
     if settings is None:
         _exit_with_error(EXIT_INVALID, "no settings file given; see --help")
     try:
-        loaded = settings_model.load(settings)
+        loaded = settings_watch.load_at_start(
+            lambda: settings_model.load(settings),
+            limit_s=0.0 if check else settings_watch.START_LIMIT_S,
+        )
         operator_access.Access(_access_files(loaded.operator)).check()
         _peer_tls(loaded.peer)
     except errors.SettingsError as error:
@@ -298,6 +307,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signal_number, on_signal)
     gevent.signal_handler(signal.SIGHUP, _log_hangup)
+    process_start.deliver_signals(*process_start.HELD_SIGNALS)
     daemon = Daemon(settings)
     try:
         daemon.start()
--- a/tests/test_process_start_own.py
+++ b/tests/test_process_start_own.py
@@ -13,10 +13,12 @@
 
 from standins import fleet
 from standins import ports
+from tests import test_process_start
 
 VM = "vm-0"
 HELD_S = 1.5
 RUNS_FOR_S = 0.5
+SIGNAL_DELAYS_S = (0.0, 0.2, 0.5)
 EXIT_PORT_IN_USE = 3
 START_TIMEOUT_S = 20.0
 ENDPOINTS = ("peer", "announce", "operator", "caller")
@@ -28,9 +30,10 @@
     def setUp(self) -> None:
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
         self.fleet = fleet.Fleet(
             vms=[fleet.Vm(VM, "zone", "region", "desk")],
-            directory=pathlib.Path(directory.name),
+            directory=self.directory,
         )
         self.addCleanup(self.fleet.stop)
         self.fleet.start_platform()
@@ -72,6 +75,28 @@
         self.assertEqual(process.wait(START_TIMEOUT_S), EXIT_PORT_IN_USE)
         self.assertIn("free the port or change the settings", self._log())
 
+    # A signal during the imports ended the process.
+    def test_hangup_during_the_start_does_not_end_the_process(self):
+        for delay_s in SIGNAL_DELAYS_S:
+            with self.subTest(delay_s=delay_s):
+                process = self._start()
+                test_process_start.await_first_statement(process)
+                time.sleep(delay_s)
+                process.send_signal(signal.SIGHUP)
+                self._assert_runs(process)
+                process.kill()
+                process.wait()
+
+    # A settings file that was still being written ended the process.
+    def test_settings_written_during_the_start_are_awaited(self):
+        path = self.directory / f"{VM}.json"
+        process = self._start()
+        text = path.read_text()
+        path.write_text(text[: len(text) // 2])
+        time.sleep(HELD_S)
+        path.write_text(text)
+        self._assert_runs(process)
+
     # SIGHUP ended the process, and with it the requests that it had accepted.
     def test_hangup_does_not_end_the_process(self):
         process = self._start()
