--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -30,6 +30,8 @@
 Zone = "{place}"
 App = "127.0.0.1:{app}"
 Service = "{service}"
+[Self.Limits]
+MemoryMb = {memory_mb}
 [Network]
 PortRange = [{peer}, {peer}]
 [Network.Listen]
@@ -72,6 +74,7 @@
         through_proxy: Puts a proxy in front of a port and returns the proxy's
             port; used from daemons to the store and from targets to daemons.
         grants: How targets are granted keys: "heartbeat" or "call".
+        memory_mb: Memory limit that daemons are told, 0 if not set.
     """
 
     def __init__(
@@ -81,8 +84,10 @@
         directory: pathlib.Path,
         through_proxy: Callable[[int], int] = lambda port: port,
         grants: str = "heartbeat",
+        memory_mb: int = 0,
     ) -> None:
         self._grants = grants
+        self._memory_mb = memory_mb
         self._directory = directory
         self._through_proxy = through_proxy
         self.group = processes_module.Processes(directory)
@@ -101,6 +106,7 @@
             place="z",
             service=service,
             grants=self._grants,
+            memory_mb=self._memory_mb,
             store=self._through_proxy(self.store_port),
             **ports_by_endpoint,
         )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,7 +2,8 @@
 
 It holds the keys that responses to its heartbeats grant, or calls, and appends
 a JSON line to its journal for each request that it starts: ID, key, generation
-and times. The query selects the work: ms=N takes N ms, crash=1 ends it.
+and times. The query selects the work: ms=N takes N ms, crash=1 ends it, and
+answer=N answers with N bytes instead of the request's body.
 /standin/late?share=N&ms=M leaves that share of the calls unanswered and carries
 them out M ms later; the time of a grant still counts from its arrival.
 
@@ -130,9 +131,10 @@
             self._running.pop(request_id, None)
         headers = [("Request-Id", request_id), ("Server-Stamp", "stamp")]
         status = 200 if work_s <= time_left_s else 504
-        return http_connection.HttpReply(
-            status, headers, request.body or b"done"
-        )
+        content = request.body or b"done"
+        if "answer" in query:
+            content = bytes(int(query["answer"]))
+        return http_connection.HttpReply(status, headers, content)
 
     def send_heartbeats(self) -> None:
         """Sends heartbeats until killed."""
