Let other tasks run while a long body is sent

Cause: gevent's sendall returns to the event loop only when the socket is full. To a receiver that is as fast, a body of 24 MB went out in one turn, twice at once, and small requests waited.

Change: bodies are sent in parts of 64 KB, with the pauses that reading has.

Evidence: `test_other_tasks_run_while_a_long_body_is_sent` (no other task ran before).

--- a/primrosecross/adapters/http/http_client.py
+++ b/primrosecross/adapters/http/http_client.py
@@ -202,13 +202,10 @@
         other_pieces: Iterator[bytes],
     ) -> None:
         try:
-            if len(first_piece) < RECEIVE_BYTES:
-                sock.sendall(head + first_piece)
-            else:
-                sock.sendall(head)
-                sock.sendall(first_piece)
+            share = sockets.LoopShare()
+            sockets.send(sock, head, first_piece, share)
             for piece in other_pieces:
-                sock.sendall(piece)
+                sockets.send(sock, b"", piece, share)
         except OSError:
             # The server may have responded before reading the whole request.
             return
--- a/primrosecross/adapters/http/http_connection.py
+++ b/primrosecross/adapters/http/http_connection.py
@@ -411,11 +411,7 @@
             lines.append("Connection: close")
         head = "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
         body = b"" if method == "HEAD" else reply.body
-        if len(body) < RECEIVE_BYTES:
-            self._sock.sendall(head + body)
-        else:
-            self._sock.sendall(head)
-            self._sock.sendall(body)
+        sockets.send(self._sock, head, body, sockets.LoopShare())
 
 
 def _receive_more(sock: gevent_socket.socket, timeout_s: float) -> bytes:
--- a/primrosecross/adapters/sockets.py
+++ b/primrosecross/adapters/sockets.py
@@ -10,6 +10,7 @@
 from gevent import socket as gevent_socket
 
 YIELD_BYTES = 256 * 1024
+SEND_BYTES = 64 * 1024
 
 
 def connect(
@@ -121,14 +122,14 @@
 
 
 class LoopShare:
-    """Lets other tasks and timers run while a task reads from a fast sender.
+    """Lets other tasks and timers run while a task reads or sends fast.
 
     gevent's recv returns without a switch to the event loop while data is
     readable. Without a pause, a sender that is faster than its reader keeps all
     other tasks waiting, and the reader's own time limit never takes effect.
 
     Args:
-        yield_bytes: Bytes read between pauses.
+        yield_bytes: Bytes between pauses.
     """
 
     def __init__(self, yield_bytes: int = YIELD_BYTES) -> None:
@@ -136,8 +137,28 @@
         self._unshared_bytes = 0
 
     def record(self, byte_count: int) -> None:
-        """Counts bytes read; lets other tasks run after yield_bytes of them."""
+        """Counts bytes; lets other tasks run after yield_bytes of them."""
         self._unshared_bytes += byte_count
         if self._unshared_bytes >= self._yield_bytes:
             self._unshared_bytes = 0
             gevent.sleep(0)
+
+
+def send(
+    sock: gevent_socket.socket, head: bytes, body: bytes, share: LoopShare
+) -> None:
+    """Sends a message; a long body in parts, between which others run.
+
+    Raises:
+        OSError: The connection failed.
+    """
+    if len(body) <= SEND_BYTES:
+        sock.sendall(head + body)
+        share.record(len(body))
+        return
+    sock.sendall(head)
+    view = memoryview(body)
+    for first in range(0, len(view), SEND_BYTES):
+        part = view[first : first + SEND_BYTES]
+        sock.sendall(part)
+        share.record(len(part))
--- a/tests/test_streamed_exchange.py
+++ b/tests/test_streamed_exchange.py
@@ -3,7 +3,9 @@
 import gc
 import unittest
 import weakref
+from unittest import mock
 
+import gevent
 from gevent import socket
 
 from primrosecross.adapters.http import http_client
@@ -107,5 +109,51 @@
         self.assertIsNone(reference())
 
 
+class _FastServer:
+    """A connection that takes all bytes at once, and then answers."""
+
+    def __init__(self) -> None:
+        self.received_bytes = 0
+
+    def sendall(self, data: bytes) -> None:
+        self.received_bytes += len(data)
+
+    def recv(self, size: int) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"[:size]
+
+    def close(self) -> None:
+        pass
+
+    def settimeout(self, timeout_s: float | None) -> None:
+        pass
+
+    def setsockopt(self, *arguments: object) -> None:
+        pass
+
+
+class FairnessTest(unittest.TestCase):
+    """A long body that is sent to a receiver which is always faster."""
+
+    def test_other_tasks_run_while_a_long_body_is_sent(self):
+        turns = []
+
+        def take_turns() -> None:
+            while True:
+                turns.append(len(turns))
+                gevent.sleep(0)
+
+        client = http_client.HttpClient(address="127.0.0.1:1")
+        server = _FastServer()
+        content = bytes(8 << 20)
+        task = gevent.spawn(take_turns)
+        self.addCleanup(task.kill)
+        with mock.patch.object(
+            http_client.sockets, "connect", lambda *_, **__: server
+        ):
+            client.exchange(head=b"head", body=content, timeout_s=5)
+        self.assertEqual(server.received_bytes, len(content) + len(b"head"))
+        self.assertGreaterEqual(len(turns), 16)
+
+
 if __name__ == "__main__":
     unittest.main()
