--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -10,10 +10,12 @@
 from unittest import mock
 
 import gevent
+from gevent import server as gevent_server
 from gevent import socket as gevent_socket
 
 from primrosecross.adapters import boot_clock
 from primrosecross.adapters import fleet_shutdown
+from primrosecross.adapters.http import http_client
 from primrosecross.adapters.http import http_connection
 from primrosecross.adapters.http import http_parser
 
@@ -186,5 +188,28 @@
         self.assertTrue(stop.ready())
 
 
+class TargetTest(unittest.TestCase):
+    """A target that answers before it has read a body, and closes."""
+
+    # Its answer was in the receive buffer when the reset came.
+    def test_answer_before_a_reset_is_received(self):
+        def answer(sock: gevent_socket.socket, _: object) -> None:
+            sock.recv(1000)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            sock.close()  # beside unread input
+
+        target = gevent_server.StreamServer(("127.0.0.1", 0), answer)
+        target.start()
+        self.addCleanup(target.stop)
+        client = http_client.HttpClient(
+            address=f"127.0.0.1:{target.server_port}"
+        )
+        for _ in range(20):
+            response = client.exchange(
+                head=_upload("/upload"), body=bytes(BODY_BYTES), timeout_s=2.0
+            )
+            self.assertEqual(response.body, b"ok")
+
+
 if __name__ == "__main__":
     unittest.main()
