--- a/primrosecross/adapters/listeners.py
+++ b/primrosecross/adapters/listeners.py
@@ -34,21 +34,31 @@
     Args:
         start_server: Starts listening, or raises OSError.
         purpose: Who connects to the port, for the log.
-        limit_s: Time after which an error is final.
+        limit_s: Time after which an error is final. The caller reports a final
+            error, so attempts are logged only if there is no limit.
 
     Raises:
         OSError: The server cannot listen after limit_s.
     """
+    level = logging.WARNING if limit_s == math.inf else logging.DEBUG
     started_s = time.monotonic()
+    failures = 0
     while True:
         try:
             start_server()
-            return
+            break
         except OSError as error:
             if time.monotonic() - started_s >= limit_s:
                 raise
-            _logger.warning("cannot listen for %s yet: %s", purpose, error)
+            failures += 1
+            _logger.log(level, "cannot listen for %s yet: %s", purpose, error)
         gevent.sleep(RETRY_INTERVAL_S)
+    if failures:
+        _logger.warning(
+            "listening for %s after %d attempts, as the port was in use",
+            purpose,
+            failures,
+        )
 
 
 def bind_first(
