Refuse callers until a starting daemon can join its fleet

A daemon that waits for the port of other daemons listened for callers already, who waited in the backlog for up to 8 s.

Change: both ports are bound first, so that no other socket gets them, and listened on once both are there.

--- a/primrosecross/adapters/fleet_process.py
+++ b/primrosecross/adapters/fleet_process.py
@@ -88,6 +88,7 @@
 
     The callers' port has one address only, so a process that has it is the only
     daemon of its VM; two that join as one VM would be taken for each other.
+    Callers are refused until the daemon can join.
     """
     callers = listeners.bind_first(
         [addresses.parse(caller_address)], purpose="callers", stopping=stopping
@@ -102,4 +103,6 @@
     )
     if callers is None or peers is None:
         return None
+    listeners.listen(peers, purpose="other daemons")
+    listeners.listen(callers, purpose="callers")
     return Listeners(callers, peers)
--- a/primrosecross/adapters/listeners.py
+++ b/primrosecross/adapters/listeners.py
@@ -68,10 +68,11 @@
     stopping: gevent_event.Event,
     predecessor_limit_s: float = math.inf,
 ) -> gevent_socket.socket | None:
-    """Listens on the first of several addresses that is free.
+    """Binds a socket to the first of several addresses that is free.
 
-    An address on which somebody listens may belong to a predecessor that has
-    not ended; one that an outgoing connection uses may stay so.
+    It does not listen yet, so connections are refused. An address on which
+    somebody listens may belong to a predecessor that has not ended; one that an
+    outgoing connection uses may stay so.
 
     Args:
         addresses: IP address and port, in order of preference.
@@ -81,7 +82,7 @@
             than the next address taken.
 
     Returns:
-        The listening socket; None if the process is to end.
+        The socket; None if the process is to end.
     """
     addresses = list(addresses)
     started_s = time.monotonic()
@@ -91,7 +92,7 @@
         )
         for address in addresses:
             try:
-                return _listen(address)
+                return _bind(address)
             except OSError as error:
                 _logger.warning(
                     "cannot listen for %s on %s:%d yet: %s",
@@ -105,12 +106,16 @@
     return None
 
 
-def _listen(address: tuple[str, int]) -> gevent_socket.socket:
+def listen(sock: gevent_socket.socket, *, purpose: str) -> None:
+    """Listens on a bound socket, once no other socket on its port does."""
+    start(lambda: sock.listen(BACKLOG), purpose=purpose)
+
+
+def _bind(address: tuple[str, int]) -> gevent_socket.socket:
     sock = gevent_socket.socket(sockets.family_of(address[0]))
     try:
         sock.setsockopt(gevent_socket.SOL_SOCKET, gevent_socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        sock.listen(BACKLOG)
     except OSError:
         sock.close()
         raise
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -115,6 +115,16 @@
         self.vm.ports["peer"] = free
         self._assert_runs(self._start())
 
+    # Callers waited for a daemon that could not serve them yet.
+    def test_callers_are_refused_until_the_daemon_can_join(self):
+        connection = connect_from(self.vm.ports["peer"])
+        process = self._start()
+        time.sleep(RUNS_FOR_S)
+        self.assertIn("for other daemons", self.fleet.log(self.vm))
+        self.assertFalse(_listens(self.vm.ports["outbound"]))
+        connection.close()
+        self._assert_runs(process)
+
     # Log lines went to the first connection that got the descriptor.
     def test_closed_standard_streams_are_no_connections(self):
         for closed in ((1,), (0, 1, 2)):
